--- /dev/null
+++ b/src/heatherspur/__main__.py
@@ -0,0 +1,14 @@
+"""Entry point of the ``heatherspur`` program."""
+
+from heatherspur.cli import run
+
+__all__ = ["main"]
+
+
+def main() -> None:
+    """Run the command line."""
+    run()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/heatherspur/catalogue/__init__.py
@@ -0,0 +1,64 @@
+"""Catalogue entries, keys and the fold of the log into the state in force."""
+
+from heatherspur.catalogue.changes import (
+    entry_put,
+    entry_withdraw,
+    key_grant,
+    key_withdraw,
+    limit_table,
+    new_change_id,
+    node_join,
+    node_leave,
+    share_settled,
+    snapshot,
+)
+from heatherspur.catalogue.conf import CatalogueError, EntryError
+from heatherspur.catalogue.entries import (
+    CLASSES,
+    CustomerEntry,
+    Entry,
+    Route,
+    ServiceEntry,
+    entry_fields,
+    parse_entry,
+)
+from heatherspur.catalogue.fold import CatalogueFold, ChangeResult, KeyOwner
+from heatherspur.catalogue.keeper import AskPeer, Keeper, Seek
+from heatherspur.catalogue.keys import key_digest, new_key
+from heatherspur.catalogue.routes import RouteIndex, RouteMatch
+from heatherspur.catalogue.tables import LimitTable, NodeRecord, Share
+
+__all__ = [
+    "CLASSES",
+    "AskPeer",
+    "CatalogueError",
+    "CatalogueFold",
+    "ChangeResult",
+    "CustomerEntry",
+    "Entry",
+    "EntryError",
+    "KeyOwner",
+    "Keeper",
+    "LimitTable",
+    "NodeRecord",
+    "Route",
+    "RouteIndex",
+    "RouteMatch",
+    "Seek",
+    "ServiceEntry",
+    "Share",
+    "entry_fields",
+    "entry_put",
+    "entry_withdraw",
+    "key_digest",
+    "key_grant",
+    "key_withdraw",
+    "limit_table",
+    "new_change_id",
+    "new_key",
+    "node_join",
+    "node_leave",
+    "parse_entry",
+    "share_settled",
+    "snapshot",
+]
--- /dev/null
+++ b/src/heatherspur/catalogue/entries.py
@@ -0,0 +1,239 @@
+"""Catalogue entries: services and customers, with every field checked."""
+
+import math
+import re
+from collections.abc import Callable, Iterator, Mapping
+from typing import Any, NamedTuple
+
+from result import Err, Ok, Result
+
+from heatherspur.catalogue.conf import EntryError
+
+__all__ = [
+    "CLASSES",
+    "CustomerEntry",
+    "Entry",
+    "Route",
+    "ServiceEntry",
+    "entry_fields",
+    "parse_entry",
+]
+
+ID_PATTERN = re.compile(r"[a-z0-9][a-z0-9-]{0,62}")
+METHOD_PATTERN = re.compile(r"[A-Z]{1,16}")
+CLASSES = ("steady", "swift")
+SAFE_METHODS = ("GET", "HEAD", "OPTIONS")
+MAX_RATE_PER_S = 1_000_000
+MAX_TIMEOUT_MS = 600_000
+MAX_BODY_BYTES = 1 << 30
+
+
+class Route(NamedTuple):
+    """A path prefix that a service answers.
+
+    :param prefix: Path prefix; matches whole segments.
+    :param open: Whether callers without a key are served.
+    :param idempotent_methods: Methods that may run again on this route.
+    """
+
+    prefix: str
+    open: bool
+    idempotent_methods: tuple[str, ...]
+
+
+class ServiceEntry(NamedTuple):
+    """A service.
+
+    :param id: Service id.
+    :param owner: Who answers for it.
+    :param service_class: ``steady`` (slow to eject, few false ejections) or
+        ``swift`` (quick to eject).
+    :param routes: Its routes.
+    :param timeout_ms: Longest time for a whole exchange, in milliseconds.
+    :param max_body_bytes: Longest request body, in bytes.
+    :param floor: Least share of its live targets that stays in use, 0 to 1.
+    :param max_queue: Most requests that wait at one target.
+    :param open_rate: Requests a second over all nodes without a key.
+    :param open_burst: Burst of requests without a key.
+    """
+
+    id: str
+    owner: str
+    service_class: str
+    routes: tuple[Route, ...]
+    timeout_ms: int
+    max_body_bytes: int
+    floor: float
+    max_queue: int
+    open_rate: float
+    open_burst: int
+
+
+class CustomerEntry(NamedTuple):
+    """A customer.
+
+    :param id: Customer id.
+    :param owner: Who answers for it.
+    :param rate: Requests a second over all nodes together.
+    :param burst: Requests at once over all nodes together.
+    """
+
+    id: str
+    owner: str
+    rate: float
+    burst: int
+
+
+Entry = ServiceEntry | CustomerEntry
+
+
+class Check(NamedTuple):
+    """How one field is checked.
+
+    :param default: Default, or ``None`` where the field is required.
+    :param accepts: Tells whether a value is good.
+    :param expects: What a good value looks like.
+    """
+
+    default: Any
+    accepts: Callable[[Any], bool]
+    expects: str
+
+
+def _is_number(value: Any, low: float, high: float) -> bool:
+    if type(value) not in (int, float) or not math.isfinite(value):
+        return False
+    return low <= value <= high
+
+
+def _number(default: Any, low: float, high: float) -> Check:
+    expects = f"a number from {low} to {high}"
+    return Check(default, lambda value: _is_number(value, low, high), expects)
+
+
+def _whole(default: Any, low: int, high: int) -> Check:
+    expects = f"a whole number from {low} to {high}"
+
+    def accepts(value: Any) -> bool:
+        return type(value) is int and low <= value <= high
+
+    return Check(default, accepts, expects)
+
+
+def _is_id(value: Any) -> bool:
+    return isinstance(value, str) and ID_PATTERN.fullmatch(value) is not None
+
+
+def _is_prefix(value: Any) -> bool:
+    return isinstance(value, str) and value.startswith("/") and "?" not in value
+
+
+def _is_methods(value: Any) -> bool:
+    if not isinstance(value, list | tuple):
+        return False
+    return all(isinstance(m, str) and METHOD_PATTERN.fullmatch(m) for m in value)
+
+
+def _is_routes(value: Any) -> bool:
+    return isinstance(value, list | tuple) and len(value) > 0
+
+
+ID_CHECK = Check(None, _is_id, "1 to 63 small letters, digits and hyphens")
+OWNER_CHECK = Check(
+    None, lambda v: isinstance(v, str) and 0 < len(v) <= 200, "a text up to 200 long"
+)
+
+SERVICE_CHECKS: dict[str, Check] = {
+    "id": ID_CHECK,
+    "owner": OWNER_CHECK,
+    "service_class": Check("steady", CLASSES.__contains__, " or ".join(CLASSES)),
+    "routes": Check(None, _is_routes, "at least one route"),
+    "timeout_ms": _whole(10_000, 10, MAX_TIMEOUT_MS),
+    "max_body_bytes": _whole(1 << 20, 0, MAX_BODY_BYTES),
+    "floor": _number(0.5, 0, 1),
+    "max_queue": _whole(64, 0, 10_000),
+    "open_rate": _number(20, 0, MAX_RATE_PER_S),
+    "open_burst": _whole(20, 0, MAX_RATE_PER_S),
+}
+ROUTE_CHECKS: dict[str, Check] = {
+    "prefix": Check(None, _is_prefix, "a path that starts with /"),
+    "open": Check(False, lambda value: type(value) is bool, "true or false"),
+    "idempotent_methods": Check(list(SAFE_METHODS), _is_methods, "a list of methods"),
+}
+CUSTOMER_CHECKS: dict[str, Check] = {
+    "id": ID_CHECK,
+    "owner": OWNER_CHECK,
+    "rate": _number(None, 0, MAX_RATE_PER_S),
+    "burst": _whole(None, 1, MAX_RATE_PER_S),
+}
+
+
+def _problems(fields: Mapping[str, Any], checks: Mapping[str, Check]) -> Iterator[str]:
+    for name in fields:
+        if name not in checks:
+            yield f"field {name!r} is not known"
+    for name, check in checks.items():
+        value = fields.get(name, check.default)
+        if value is None:
+            yield f"field {name!r} is missing: expected {check.expects}"
+        elif not check.accepts(value):
+            yield f"field {name!r} is {value!r}: expected {check.expects}"
+
+
+def _filled(fields: Mapping[str, Any], checks: Mapping[str, Check]) -> dict[str, Any]:
+    return {name: fields.get(name, check.default) for name, check in checks.items()}
+
+
+def parse_entry(kind: str, fields: Any) -> Result[Entry, EntryError]:
+    """Check an entry and fill in its defaults.
+
+    :param kind: ``"service"`` or ``"customer"``.
+    :param fields: Its fields, as read from a file or a record.
+    :returns: The entry, or an error that names every wrong field.
+    """
+    if not isinstance(fields, Mapping):
+        return Err(EntryError(kind, "expected a table of fields"))
+    name = str(fields.get("id", kind))
+    if kind == "service":
+        return _parse_service(name, fields)
+    if kind != "customer":
+        return Err(EntryError(name, f"kind {kind!r} is neither service nor customer"))
+    problems = list(_problems(fields, CUSTOMER_CHECKS))
+    if problems:
+        return Err(EntryError(name, "; ".join(problems)))
+    return Ok(CustomerEntry(**_filled(fields, CUSTOMER_CHECKS)))
+
+
+def _parse_service(name: str, fields: Mapping[str, Any]) -> Result:
+    problems = list(_problems(fields, SERVICE_CHECKS))
+    if problems:
+        return Err(EntryError(name, "; ".join(problems)))
+    filled = _filled(fields, SERVICE_CHECKS)
+    for route in filled["routes"]:
+        if not isinstance(route, Mapping):
+            return Err(EntryError(name, "a route is no table of fields"))
+        problems += _problems(route, ROUTE_CHECKS)
+    if problems:
+        return Err(EntryError(name, "; ".join(problems)))
+    filled["routes"] = tuple(_route(route) for route in filled["routes"])
+    return Ok(ServiceEntry(**filled))
+
+
+def _route(fields: Mapping[str, Any]) -> Route:
+    filled = _filled(fields, ROUTE_CHECKS)
+    prefix = filled["prefix"].rstrip("/") or "/"
+    return Route(prefix, filled["open"], tuple(filled["idempotent_methods"]))
+
+
+def entry_fields(entry: Entry) -> dict[str, Any]:
+    """Return an entry as fields that :func:`parse_entry` takes.
+
+    :param entry: The entry.
+    """
+    fields = entry._asdict()
+    if isinstance(entry, ServiceEntry):
+        fields["routes"] = [
+            {**route._asdict(), "idempotent_methods": list(route.idempotent_methods)}
+            for route in entry.routes
+        ]
+    return fields
--- /dev/null
+++ b/src/heatherspur/catalogue/routes.py
@@ -0,0 +1,69 @@
+"""Finds the service and the route for a path."""
+
+from collections.abc import Iterable, Iterator
+from typing import NamedTuple
+from urllib.parse import unquote
+
+from heatherspur.catalogue.entries import Route, ServiceEntry
+
+__all__ = ["RouteIndex", "RouteMatch"]
+
+
+class RouteMatch(NamedTuple):
+    """The route that serves a path.
+
+    :param service: Id of the service.
+    :param route: The route.
+    """
+
+    service: str
+    route: Route
+
+
+def _prefixes(path: str) -> Iterator[str]:
+    """Yield the whole-segment prefixes of a path, longest first."""
+    while path:
+        yield path
+        path = path[: path.rfind("/")]
+    yield "/"
+
+
+class RouteIndex:
+    """Longest-prefix search over the routes of all services.
+
+    One dictionary look-up a path segment, whatever the number of routes.
+    """
+
+    def __init__(self) -> None:
+        self._matches_by_prefix: dict[str, RouteMatch] = {}
+
+    def owner_of(self, prefix: str) -> str | None:
+        """Return the service that holds a prefix."""
+        match = self._matches_by_prefix.get(prefix)
+        return match.service if match else None
+
+    def replace(self, old: Iterable[Route], new: ServiceEntry | None) -> None:
+        """Take out the old routes of a service and put in its new ones.
+
+        :param old: Routes that the service had.
+        :param new: The service's new entry, or ``None`` if it was withdrawn.
+        """
+        for route in old:
+            self._matches_by_prefix.pop(route.prefix, None)
+        if new is not None:
+            for route in new.routes:
+                self._matches_by_prefix[route.prefix] = RouteMatch(new.id, route)
+
+    def find(self, target: str) -> RouteMatch | None:
+        """Find the route for a request target.
+
+        :param target: Request target in origin form.
+        :returns: The match with the longest prefix, or ``None``; also ``None`` for
+            a path with dot segments, which targets might resolve differently.
+        """
+        path = target.partition("?")[0]
+        segments = unquote(path).split("/")
+        if "." in segments or ".." in segments:
+            return None
+        matches = map(self._matches_by_prefix.get, _prefixes(path.rstrip("/")))
+        return next(filter(None, matches), None)
--- /dev/null
+++ b/src/heatherspur/cli/operator.py
@@ -0,0 +1,183 @@
+"""What operators do: change the catalogue and see the change in force."""
+
+import json
+import time
+import tomllib
+import urllib.error
+import urllib.request
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from result import Err, Ok, Result
+
+from heatherspur.catalogue import (
+    CatalogueFold,
+    ChangeResult,
+    Entry,
+    ServiceEntry,
+    parse_entry,
+)
+from heatherspur.catalogue.fold import rebuild
+from heatherspur.cli.conf import EXIT_UNKNOWN, CommandError, OperatorSettings
+from heatherspur.core import Address
+from heatherspur.platform import LogClient
+
+__all__ = ["Confirmation", "Operator", "ask_status", "read_entries"]
+
+MAX_APPEND_TRIES = 5
+RETRY_DELAY_S = 0.3
+POLL_DELAY_S = 0.1
+
+
+class Confirmation(NamedTuple):
+    """Which nodes have a change in force.
+
+    :param in_force: Node ids that applied it.
+    :param missing: Node ids that did not answer or have not applied it.
+    """
+
+    in_force: tuple[str, ...]
+    missing: tuple[str, ...]
+
+
+def ask_status(address: Address | str, timeout_s: float) -> dict[str, Any] | None:
+    """Return the status of a node, or ``None`` if it does not answer.
+
+    :param address: Its operators' address.
+    :param timeout_s: Seconds to wait.
+    """
+    try:
+        with urllib.request.urlopen(
+            f"http://{address}/status", timeout=timeout_s
+        ) as answer:
+            return json.load(answer)
+    except (OSError, ValueError, urllib.error.URLError):
+        return None
+
+
+def read_entries(path: str) -> Result[list[Entry], CommandError]:
+    """Read catalogue entries from a TOML or JSON file.
+
+    :param path: File with the arrays ``service`` and ``customer``.
+    :returns: The entries; one broken entry refuses the whole file.
+    """
+    try:
+        text = Path(path).read_text("utf-8")
+        is_json = path.endswith(".json")
+        content = json.loads(text) if is_json else tomllib.loads(text)
+    except OSError as error:
+        return Err(CommandError("read catalogue file", path, str(error.strerror)))
+    except ValueError as error:
+        return Err(CommandError("read catalogue file", path, str(error)))
+    if not isinstance(content, dict) or set(content) - {"service", "customer"}:
+        reason = "expected arrays named service and customer"
+        return Err(CommandError("read catalogue file", path, reason))
+    entries, problems = [], []
+    for kind, fields in ((k, f) for k in content for f in content[k]):
+        parsed = parse_entry(kind, fields)
+        if parsed.is_ok():
+            entries.append(parsed.ok_value)
+        else:
+            problems.append(str(parsed.err_value))
+    if problems:
+        return Err(CommandError("check catalogue file", path, "; ".join(problems)))
+    return Ok(entries)
+
+
+def kind_of(entry: Entry) -> str:
+    """Return the kind of an entry."""
+    return "service" if isinstance(entry, ServiceEntry) else "customer"
+
+
+class Operator:
+    """One operator's session with the log.
+
+    :param settings: Settings of the command.
+    """
+
+    def __init__(self, settings: OperatorSettings) -> None:
+        self._settings = settings
+        self._log = LogClient(settings.log, settings.log_stream, settings.log_timeout_s)
+
+    def fold(self) -> Result[CatalogueFold, CommandError]:
+        """Return the state in force, read from the log."""
+        records = []
+        for result in self._log.read_all():
+            if result.is_err():
+                error = result.err_value
+                return Err(CommandError(error.step, error.peer, error.reason))
+            records.append((result.ok_value.offset, result.ok_value.value))
+        fold = rebuild(records)
+        if fold is None:
+            reason = "the oldest records have expired and no snapshot covers them"
+            return Err(CommandError("read log", str(self._settings.log), reason))
+        return Ok(fold)
+
+    def change(self, change_id: str, record: str) -> Result[ChangeResult, CommandError]:
+        """Append a change and return what became of it.
+
+        A lost answer leaves open whether the append took effect, so the log is
+        searched for the change id before the record is sent again.
+
+        :param change_id: Change id of the record.
+        :param record: Text of the record.
+        """
+        peer = str(self._settings.log)
+        last_error = "no answer"
+        for _ in range(MAX_APPEND_TRIES):
+            appended = self._log.append(record)
+            folded = self.fold()
+            if folded.is_ok():
+                result = folded.ok_value.results_by_change.get(change_id)
+                if result is not None:
+                    return Ok(result)
+            error = appended.err_value if appended.is_err() else folded.err_value
+            last_error = error.reason if error is not None else last_error
+            time.sleep(RETRY_DELAY_S)
+        reason = f"change {change_id} may or may not be in the log: {last_error}"
+        return Err(CommandError("append change", peer, reason, EXIT_UNKNOWN))
+
+    def confirm(self, offset: int) -> Confirmation:
+        """Wait until all nodes have applied a record.
+
+        :param offset: Offset of the record.
+        """
+        folded = self.fold()
+        nodes = dict(folded.ok_value.nodes_by_id) if folded.is_ok() else {}
+        in_force: set[str] = set()
+        until = time.monotonic() + self._settings.confirm_s
+        while True:
+            for node in sorted(set(nodes) - in_force):
+                status = ask_status(nodes[node].ops, self._settings.log_timeout_s)
+                if status and status["catalogue"]["offset"] > offset:
+                    in_force.add(node)
+            missing = set(nodes) - in_force
+            if not missing or time.monotonic() >= until:
+                return Confirmation(tuple(sorted(in_force)), tuple(sorted(missing)))
+            time.sleep(POLL_DELAY_S)
+
+    def apply_all(
+        self, entries: list[Entry], build: Callable[[str, Entry, int], str], new_id
+    ) -> Iterator[tuple[Entry, Result[ChangeResult, CommandError]]]:
+        """Add or change entries, one record each; equal ones are left alone.
+
+        :param entries: The entries.
+        :param build: Returns the record of an entry.
+        :param new_id: Returns a fresh change id.
+        """
+        folded = self.fold()
+        for entry in entries:
+            if folded.is_err():
+                yield entry, folded
+                return
+            fold = folded.ok_value
+            kind = kind_of(entry)
+            by_id = fold.services_by_id if kind == "service" else fold.customers_by_id
+            if by_id.get(entry.id) == entry:
+                unchanged = ChangeResult(fold.offset - 1, "unchanged", "", entry.id, "")
+                yield entry, Ok(unchanged)
+                continue
+            change_id = new_id()
+            replaces = fold.version_of(kind, entry.id)
+            yield entry, self.change(change_id, build(change_id, entry, replaces))
--- /dev/null
+++ b/src/heatherspur/core/__init__.py
@@ -0,0 +1,35 @@
+"""Clock, base error and checked settings that every other subpackage uses."""
+
+from heatherspur.core.clock import now_s
+from heatherspur.core.errors import HeatherspurError
+from heatherspur.core.hashing import stable_hash
+from heatherspur.core.settings import (
+    Address,
+    Setting,
+    SettingsError,
+    address,
+    addresses,
+    count,
+    log_level,
+    read_settings,
+    seconds,
+    text,
+)
+from heatherspur.core.statechart import load_chart
+
+__all__ = [
+    "Address",
+    "HeatherspurError",
+    "Setting",
+    "SettingsError",
+    "address",
+    "addresses",
+    "count",
+    "load_chart",
+    "log_level",
+    "now_s",
+    "read_settings",
+    "seconds",
+    "stable_hash",
+    "text",
+]
--- /dev/null
+++ b/src/heatherspur/core/settings.py
@@ -0,0 +1,270 @@
+"""Declaration, reading and checking of settings.
+
+Every subpackage declares its settings as a ``NamedTuple`` and a tuple of
+:class:`Setting`, one for each field. Values come from flags first, then from
+environment variables (``HEATHERSPUR_`` and the name in capitals), then from the
+defaults.
+"""
+
+import ipaddress
+import math
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from typing import Any, NamedTuple, TypeVar
+
+from result import Err, Ok, Result
+
+from heatherspur.core.errors import HeatherspurError
+
+__all__ = [
+    "Address",
+    "Setting",
+    "SettingsError",
+    "address",
+    "addresses",
+    "count",
+    "log_level",
+    "read_settings",
+    "seconds",
+    "text",
+]
+
+ENVIRONMENT_PREFIX = "HEATHERSPUR_"
+MAX_PORT = 65535
+LOG_LEVELS = ("debug", "info", "warning", "error")
+
+T = TypeVar("T")
+
+
+class Address(NamedTuple):
+    """A TCP address by IP number.
+
+    :param host: IP number, version 4 or 6.
+    :param port: Port, 0 to let the kernel choose.
+    """
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        if ":" in self.host:
+            return f"[{self.host}]:{self.port}"
+        return f"{self.host}:{self.port}"
+
+
+class Setting(NamedTuple):
+    """One setting.
+
+    :param name: Name of the field, the flag and, in capitals, the variable.
+    :param parse: Turns text into the value; raises ``ValueError`` if it can't.
+    :param default: Default as text, or ``None`` where a value is required.
+    :param expects: What a good value looks like, with its unit and range.
+    :param description: What the setting changes, in one sentence.
+    """
+
+    name: str
+    parse: Callable[[str], Any]
+    default: str | None
+    expects: str
+    description: str
+
+    @property
+    def variable(self) -> str:
+        """Name of the environment variable."""
+        return ENVIRONMENT_PREFIX + self.name.upper()
+
+
+class SettingsError(HeatherspurError):
+    """One or more settings can't be used.
+
+    :param problems: One sentence a setting: name, value and what is expected.
+    """
+
+    def __init__(self, problems: tuple[str, ...]) -> None:
+        super().__init__("read settings", "command line", "; ".join(problems))
+        self.problems = problems
+
+
+def parse_address(value: str) -> Address:
+    """Parse ``IP:PORT``, with an IPv6 number in square brackets.
+
+    :param value: The text.
+    :returns: The address.
+    :raises ValueError: If the text is no address by IP number.
+    """
+    host, separator, port = value.rpartition(":")
+    if not separator or not port.isascii() or not port.isdigit():
+        raise ValueError(value)
+    number = ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
+    if int(port) > MAX_PORT:
+        raise ValueError(value)
+    return Address(str(number), int(port))
+
+
+def _parse_addresses(value: str) -> tuple[Address, ...]:
+    return tuple(parse_address(part.strip()) for part in value.split(",") if part)
+
+
+def _number_parser(
+    convert: Callable[[str], float], low: float, high: float
+) -> Callable[[str], float]:
+    def parse(value: str) -> float:
+        number = convert(value)
+        if not math.isfinite(number) or not low <= number <= high:
+            raise ValueError(value)
+        return number
+
+    return parse
+
+
+def seconds(
+    name: str, default: str | None, low: float, high: float, description: str
+) -> Setting:
+    """Declare a duration in seconds.
+
+    :param name: Name of the setting; ends in ``_s``.
+    :param default: Default as text.
+    :param low: Least value allowed, in seconds.
+    :param high: Greatest value allowed, in seconds.
+    :param description: What it changes.
+    :returns: The setting.
+    """
+    expects = f"a number of seconds from {low:g} to {high:g}"
+    return Setting(
+        name, _number_parser(float, low, high), default, expects, description
+    )
+
+
+def count(name: str, default: str | None, low: int, high: int, desc: str) -> Setting:
+    """Declare a whole number.
+
+    :param name: Name of the setting.
+    :param default: Default as text.
+    :param low: Least value allowed.
+    :param high: Greatest value allowed.
+    :param desc: What it changes.
+    :returns: The setting.
+    """
+    expects = f"a whole number from {low} to {high}"
+    return Setting(name, _number_parser(int, low, high), default, expects, desc)
+
+
+def address(name: str, default: str | None, description: str) -> Setting:
+    """Declare an address.
+
+    :param name: Name of the setting.
+    :param default: Default as text.
+    :param description: What it changes.
+    :returns: The setting.
+    """
+    expects = "an address such as 127.0.0.1:8080, by IP number"
+    return Setting(name, parse_address, default, expects, description)
+
+
+def addresses(name: str, default: str | None, description: str) -> Setting:
+    """Declare a list of addresses, separated by commas.
+
+    :param name: Name of the setting.
+    :param default: Default as text.
+    :param description: What it changes.
+    :returns: The setting.
+    """
+    expects = "addresses by IP number, separated by commas"
+    return Setting(name, _parse_addresses, default, expects, description)
+
+
+def text(
+    name: str, default: str | None, description: str, min_length: int = 1
+) -> Setting:
+    """Declare a word of printable characters without spaces.
+
+    :param name: Name of the setting.
+    :param default: Default as text.
+    :param description: What it changes.
+    :param min_length: Least number of characters.
+    :returns: The setting.
+    """
+
+    def parse(value: str) -> str:
+        has_space = any(character.isspace() for character in value)
+        if len(value) < min_length or has_space or not value.isprintable():
+            raise ValueError(value)
+        return value
+
+    expects = f"at least {min_length} printable characters without spaces"
+    return Setting(name, parse, default, expects, description)
+
+
+def log_level(name: str, default: str, description: str) -> Setting:
+    """Declare a log level.
+
+    :param name: Name of the setting.
+    :param default: Default level.
+    :param description: What it changes.
+    :returns: The setting.
+    """
+
+    def parse(value: str) -> str:
+        if value.lower() not in LOG_LEVELS:
+            raise ValueError(value)
+        return value.lower()
+
+    expects = "one of " + ", ".join(LOG_LEVELS)
+    return Setting(name, parse, default, expects, description)
+
+
+def _shown(setting: Setting, value: str) -> str:
+    """Return the value as an error message may show it; secrets are hidden."""
+    return "(hidden)" if "secret" in setting.name else repr(value)
+
+
+def _problems(
+    settings: Iterable[Setting], raw: Mapping[str, str | None]
+) -> Iterator[str]:
+    for setting in settings:
+        value = raw[setting.name]
+        flag = "--" + setting.name.replace("_", "-")
+        if value is None:
+            yield f"{flag} ({setting.variable}) is not set: expected {setting.expects}"
+            continue
+        try:
+            setting.parse(value)
+        except ValueError:
+            shown = _shown(setting, value)
+            yield f"{flag} ({setting.variable}) is {shown}: expected {setting.expects}"
+
+
+def _unknown_flags(
+    settings: Iterable[Setting], flags: Mapping[str, object]
+) -> Iterator[str]:
+    known = {setting.name for setting in settings}
+    for name in flags:
+        if name not in known:
+            flag = "--" + name.replace("_", "-")
+            yield f"{flag} is not a setting: see the settings reference"
+
+
+def read_settings(
+    kind: Callable[..., T],
+    settings: tuple[Setting, ...],
+    flags: Mapping[str, object],
+    environment: Mapping[str, str],
+) -> Result[T, SettingsError]:
+    """Read and check settings.
+
+    :param kind: Called with one keyword argument a setting, usually a
+        ``NamedTuple``.
+    :param settings: The declarations.
+    :param flags: Values given on the command line, by setting name.
+    :param environment: Environment variables.
+    :returns: The settings, or an error that names every wrong one.
+    """
+    raw: dict[str, str | None] = {}
+    for setting in settings:
+        value = environment.get(setting.variable, setting.default)
+        if setting.name in flags:
+            value = str(flags[setting.name])
+        raw[setting.name] = value
+    problems = [*_unknown_flags(settings, flags), *_problems(settings, raw)]
+    if problems:
+        return Err(SettingsError(tuple(problems)))
+    return Ok(kind(**{s.name: s.parse(raw[s.name]) for s in settings}))
--- /dev/null
+++ b/src/heatherspur/exchange/__init__.py
@@ -0,0 +1,41 @@
+"""What happens to one request at its entry and at its exit."""
+
+from heatherspur.exchange.conf import EXCHANGE_SETTINGS, ExchangeSettings
+from heatherspur.exchange.entry import (
+    BODY_WINDOW_BYTES,
+    Decision,
+    EntryCore,
+    EntryExchange,
+    ReplyAbort,
+    ReplyBody,
+    ReplyEnd,
+    ReplyHead,
+    SendTo,
+    refusal_reply,
+)
+from heatherspur.exchange.gate import Arrival, ExchangeKey, ExitGate, Refuse, Start
+from heatherspur.exchange.outcomes import Outcome, Refused, Unknown, reply_fields
+
+__all__ = [
+    "BODY_WINDOW_BYTES",
+    "EXCHANGE_SETTINGS",
+    "Arrival",
+    "Decision",
+    "EntryCore",
+    "EntryExchange",
+    "ExchangeKey",
+    "ExchangeSettings",
+    "ExitGate",
+    "Outcome",
+    "Refuse",
+    "Refused",
+    "ReplyAbort",
+    "ReplyBody",
+    "ReplyEnd",
+    "ReplyHead",
+    "SendTo",
+    "Start",
+    "Unknown",
+    "refusal_reply",
+    "reply_fields",
+]
--- /dev/null
+++ b/src/heatherspur/exchange/entry.py
@@ -0,0 +1,567 @@
+"""What becomes of a request at its entry. Pure: time and messages in and out.
+
+An exchange ends in exactly one way: the whole answer, a refusal that says that the
+request did not run, or the word that this is not known. A request goes to a second
+target only after the first one refused it for good, or if it is idempotent.
+"""
+
+import heapq
+from collections.abc import Iterator
+from functools import singledispatchmethod
+from typing import NamedTuple
+
+from heatherspur.catalogue import ServiceEntry
+from heatherspur.exchange.outcomes import (
+    Answered,
+    Outcome,
+    Refused,
+    Unknown,
+    reply_fields,
+)
+from heatherspur.http import Field
+from heatherspur.link import messages as m
+from heatherspur.routing import Chooser, NoTarget, RetryBudget, TargetView
+
+__all__ = [
+    "BODY_WINDOW_BYTES",
+    "Decision",
+    "EntryCore",
+    "EntryExchange",
+    "ReplyAbort",
+    "ReplyBody",
+    "ReplyEnd",
+    "ReplyHead",
+    "SendTo",
+    "refusal_reply",
+]
+
+BODY_WINDOW_BYTES = 65536
+MIN_ATTEMPT_MS = 5.0
+ANSWER_MARGIN_MS = 50
+MIN_SPLIT_DEADLINE_MS = 200
+RETRY_SOON_S = 1.0
+
+
+class SendTo(NamedTuple):
+    """Send a message to an exit.
+
+    :param node: Node id of the exit.
+    :param message: The message.
+    """
+
+    node: str
+    message: m.Message
+
+
+class ReplyHead(NamedTuple):
+    """Start the response to the caller.
+
+    :param exchange: Id of the exchange.
+    :param status: HTTP status code.
+    :param fields: Fields.
+    """
+
+    exchange: int
+    status: int
+    fields: tuple[Field, ...]
+
+
+class ReplyBody(NamedTuple):
+    """Pass on a part of the body.
+
+    :param exchange: Id of the exchange.
+    :param data: The part.
+    """
+
+    exchange: int
+    data: bytes
+
+
+class ReplyEnd(NamedTuple):
+    """End the response cleanly.
+
+    :param exchange: Id of the exchange.
+    """
+
+    exchange: int
+
+
+class ReplyAbort(NamedTuple):
+    """Break the caller's connection, since the answer is not whole.
+
+    :param exchange: Id of the exchange.
+    """
+
+    exchange: int
+
+
+class Decision(NamedTuple):
+    """A routing decision, for the log.
+
+    :param exchange: Id of the exchange.
+    :param action: Short phrase.
+    :param service: Service id.
+    :param customer: Customer id.
+    :param target: Target id, if one was chosen.
+    :param reason: Short name of the reason.
+    """
+
+    exchange: int
+    action: str
+    service: str
+    customer: str
+    target: str
+    reason: str
+
+
+class EntryExchange:
+    """One request at its entry.
+
+    :param exchange: Id of the exchange.
+    :param service: The service.
+    :param customer: Customer id; empty where no key came.
+    :param key_digest: Digest of the key; empty where no key came.
+    :param method: Method in capitals.
+    :param path: Request target in origin form.
+    :param fields: Fields that pass to the target.
+    :param idempotent: Whether it may run again.
+    :param has_body: Whether a body follows.
+    :param deadline_s: Clock reading at which it ends.
+    :param started_at_s: Clock reading at which it came.
+    """
+
+    def __init__(
+        self,
+        exchange: int,
+        service: ServiceEntry,
+        customer: str,
+        key_digest: bytes,
+        method: str,
+        path: str,
+        fields: tuple[Field, ...],
+        idempotent: bool,
+        has_body: bool,
+        deadline_s: float,
+        started_at_s: float,
+    ) -> None:
+        self.exchange = exchange
+        self.service = service
+        self.customer = customer
+        self.key_digest = key_digest
+        self.method = method
+        self.path = path
+        self.fields = fields
+        self.idempotent = idempotent
+        self.has_body = has_body
+        self.deadline_s = deadline_s
+        self.started_at_s = started_at_s
+        self.body: list[bytes] = []
+        self.n_body_bytes = 0
+        self.body_ended = not has_body
+        self.body_dropped = False
+        self.n_sent_chunks = 0
+        self.credit = BODY_WINDOW_BYTES
+        self.view: TargetView | None = None
+        self.number = 0
+        self.sent_at_s = 0.0
+        self.n_attempts = 0
+        self.refused_by: frozenset[str] = frozenset()
+        self.may_have_run = False
+        self.response_started = False
+        self.end_sent = False
+
+
+class EntryCore:
+    """All exchanges of one entry.
+
+    :param chooser: The targets as this entry sees them.
+    :param budget: Retry budget.
+    :param max_attempts: Most attempts for one request.
+    """
+
+    def __init__(
+        self, chooser: Chooser, budget: RetryBudget, max_attempts: int
+    ) -> None:
+        self._chooser = chooser
+        self._budget = budget
+        self._max_attempts = max_attempts
+        self._next_number = 1
+        self.exchanges_by_id: dict[int, EntryExchange] = {}
+        self._exchanges_by_number: dict[int, EntryExchange] = {}
+        self._deadlines: list[tuple[float, int]] = []
+        self.incarnations_by_node: dict[str, str] = {}
+        self.clocks_by_node: dict[str, float] = {}
+        self.offset = 0
+
+    def open(self, exchange: EntryExchange) -> None:
+        """Take a request that is not admitted yet; its deadline runs.
+
+        :param exchange: The exchange.
+        """
+        self.exchanges_by_id[exchange.exchange] = exchange
+        heapq.heappush(self._deadlines, (exchange.deadline_s, exchange.exchange))
+
+    def admit(self, exchange_id: int, now: float) -> Iterator[NamedTuple]:
+        """Send a request that was admitted.
+
+        :param exchange_id: Id of the exchange.
+        :param now: Clock reading in seconds.
+        :returns: Messages.
+        """
+        exchange = self.exchanges_by_id.get(exchange_id)
+        if exchange is not None:
+            self._budget.note_request()
+            yield from self._attempt(exchange, now)
+
+    def refuse(self, exchange_id: int, outcome: Refused) -> Iterator[NamedTuple]:
+        """Refuse a request that was not sent to any exit.
+
+        :param exchange_id: Id of the exchange.
+        :param outcome: The refusal.
+        :returns: Messages.
+        """
+        exchange = self.exchanges_by_id.get(exchange_id)
+        if exchange is not None:
+            yield from refusal_reply(exchange_id, outcome)
+            yield self._decision(exchange, "not run", outcome.reason)
+            self._forget(exchange)
+
+    def overflow(self, exchange_id: int) -> Iterator[NamedTuple]:
+        """End an exchange whose request body is longer than allowed.
+
+        :param exchange_id: Id of the exchange.
+        :returns: Messages.
+        """
+        exchange = self.exchanges_by_id.get(exchange_id)
+        if exchange is None:
+            return
+        was_sent = exchange.view is not None or exchange.may_have_run
+        if exchange.view is not None:
+            yield SendTo(exchange.view.node, m.Cancel(exchange.number))
+        outcome = Unknown(413, "body-too-long")
+        if not was_sent:
+            outcome = Refused(413, "body-too-long")
+        if exchange.response_started:
+            yield ReplyAbort(exchange_id)
+        else:
+            yield from refusal_reply(exchange_id, outcome)
+        yield self._decision(exchange, "cancelled", outcome.reason)
+        self._forget(exchange)
+
+    def _attempt(self, exchange: EntryExchange, now: float) -> Iterator[NamedTuple]:
+        left_ms = (exchange.deadline_s - now) * 1000
+        if left_ms < MIN_ATTEMPT_MS:
+            yield from self._end_unanswered(exchange, 504, "deadline")
+            return
+        service = exchange.service
+        try:
+            view = self._chooser.choose(
+                service.id,
+                service.floor,
+                exchange.idempotent,
+                exchange.refused_by,
+                now,
+            )
+        except NoTarget:
+            yield from self._end_unanswered(exchange, 503, "no-target")
+            return
+        self._assign(exchange, view, now)
+        yield self._decision(
+            exchange, "sent to target", f"attempt-{exchange.n_attempts}"
+        )
+        yield SendTo(view.node, self._request_head(exchange, int(left_ms)))
+        yield from self._send_body(exchange)
+
+    def _assign(self, exchange: EntryExchange, view: TargetView, now: float) -> None:
+        exchange.number, self._next_number = self._next_number, self._next_number + 1
+        exchange.view = view
+        exchange.sent_at_s = now
+        exchange.n_attempts += 1
+        exchange.n_sent_chunks = 0
+        exchange.end_sent = False
+        exchange.credit = BODY_WINDOW_BYTES
+        self._exchanges_by_number[exchange.number] = exchange
+        view.n_open += 1
+
+    def _request_head(self, exchange: EntryExchange, left_ms: int) -> m.RequestHead:
+        """Build the request; the exit's deadline leaves time for its refusal."""
+        node = exchange.view.node
+        if left_ms > MIN_SPLIT_DEADLINE_MS:
+            left_ms -= ANSWER_MARGIN_MS
+        return m.RequestHead(
+            number=exchange.number,
+            incarnation=self.incarnations_by_node.get(node, ""),
+            echo_clock_s=self.clocks_by_node.get(node, 0.0),
+            target=exchange.view.target,
+            service=exchange.service.id,
+            offset=self.offset,
+            customer=exchange.customer,
+            key_digest=exchange.key_digest,
+            method=exchange.method,
+            path=exchange.path,
+            fields=exchange.fields,
+            deadline_ms=left_ms,
+            idempotent=exchange.idempotent,
+            has_body=exchange.has_body,
+        )
+
+    def body(self, exchange_id: int, data: bytes) -> Iterator[NamedTuple]:
+        """Take a part of the request's body from the caller.
+
+        :param exchange_id: Id of the exchange.
+        :param data: The part.
+        :returns: Messages.
+        """
+        exchange = self.exchanges_by_id.get(exchange_id)
+        if exchange is not None:
+            exchange.body.append(data)
+            exchange.n_body_bytes += len(data)
+            yield from self._send_body(exchange)
+
+    def body_end(self, exchange_id: int) -> Iterator[NamedTuple]:
+        """Note that the request's body is whole.
+
+        :param exchange_id: Id of the exchange.
+        :returns: Messages.
+        """
+        exchange = self.exchanges_by_id.get(exchange_id)
+        if exchange is not None:
+            exchange.body_ended = True
+            yield from self._send_body(exchange)
+
+    def wants_body(self, exchange_id: int) -> bool:
+        """Tell whether the caller may send more of the body.
+
+        :param exchange_id: Id of the exchange.
+        """
+        exchange = self.exchanges_by_id.get(exchange_id)
+        if exchange is None:
+            return True
+        n_unsent = sum(map(len, exchange.body[exchange.n_sent_chunks :]))
+        return n_unsent < BODY_WINDOW_BYTES
+
+    def _send_body(self, exchange: EntryExchange) -> Iterator[SendTo]:
+        """Send as much of the body as the exit has room for."""
+        if exchange.view is None or not exchange.has_body:
+            return
+        node, number = exchange.view.node, exchange.number
+        while exchange.credit > 0 and exchange.n_sent_chunks < len(exchange.body):
+            data = exchange.body[exchange.n_sent_chunks]
+            exchange.credit -= len(data)
+            exchange.n_sent_chunks += 1
+            yield SendTo(node, m.RequestBody(number, data))
+        is_sent = exchange.n_sent_chunks == len(exchange.body)
+        if exchange.body_ended and is_sent and not exchange.end_sent:
+            exchange.end_sent = True
+            yield SendTo(node, m.RequestEnd(number))
+
+    @singledispatchmethod
+    def receive(
+        self, message: m.Message, node: str, now: float
+    ) -> Iterator[NamedTuple]:
+        """Take a message of an exit; one for a closed exchange is dropped.
+
+        :param message: The message.
+        :param node: Node id of the exit.
+        :param now: Clock reading in seconds.
+        :returns: Messages.
+        """
+        raise TypeError(f"unexpected message: {message!r}")
+
+    def _exchange_of(self, number: int, node: str) -> EntryExchange | None:
+        exchange = self._exchanges_by_number.get(number)
+        if exchange is None or exchange.view is None or exchange.view.node != node:
+            return None
+        return exchange
+
+    @receive.register
+    def _on_credit(self, message: m.Credit, node: str, now: float):
+        exchange = self._exchange_of(message.number, node)
+        if exchange is None:
+            return
+        exchange.credit += message.n_bytes
+        if exchange.n_body_bytes > BODY_WINDOW_BYTES:
+            del exchange.body[: exchange.n_sent_chunks]
+            exchange.n_sent_chunks = 0
+            exchange.body_dropped = True
+        yield from self._send_body(exchange)
+
+    @receive.register
+    def _on_refusal(self, message: m.Refusal, node: str, now: float):
+        exchange = self._exchange_of(message.number, node)
+        if exchange is None:
+            return
+        target = exchange.view.target
+        exchange.refused_by |= {target}
+        self._release(exchange)
+        yield self._decision(exchange, "refused by exit", message.reason, target)
+        if self._may_retry(exchange, now):
+            yield from self._attempt(exchange, now)
+        else:
+            retry_after_s = message.retry_after_ms / 1000
+            yield from self._end_unanswered(
+                exchange, 503, message.reason, retry_after_s
+            )
+
+    @receive.register
+    def _on_failure(self, message: m.Failure, node: str, now: float):
+        exchange = self._exchange_of(message.number, node)
+        if exchange is not None:
+            yield from self._lose(exchange, 502, message.reason, now)
+
+    @receive.register
+    def _on_head(self, message: m.ResponseHead, node: str, now: float):
+        exchange = self._exchange_of(message.number, node)
+        if exchange is None or exchange.response_started:
+            return
+        exchange.response_started = True
+        total_ms = (now - exchange.sent_at_s) * 1000
+        exchange.view.note_way(total_ms - message.queue_ms - message.service_ms)
+        exchange.view.n_load = message.n_load
+        fields = (*message.fields, *reply_fields(Answered()))
+        yield ReplyHead(exchange.exchange, message.status, fields)
+
+    @receive.register
+    def _on_body(self, message: m.ResponseBody, node: str, now: float):
+        exchange = self._exchange_of(message.number, node)
+        if exchange is not None and exchange.response_started:
+            yield ReplyBody(exchange.exchange, message.data)
+
+    @receive.register
+    def _on_end(self, message: m.ResponseEnd, node: str, now: float):
+        exchange = self._exchange_of(message.number, node)
+        if exchange is None or not exchange.response_started:
+            return
+        yield ReplyEnd(exchange.exchange)
+        yield self._decision(exchange, "answered", "whole", exchange.view.target)
+        self._forget(exchange)
+
+    def credit_caller(self, exchange_id: int, n_bytes: int) -> Iterator[SendTo]:
+        """Tell the exit that the caller took bytes of the answer.
+
+        :param exchange_id: Id of the exchange.
+        :param n_bytes: Bytes taken.
+        :returns: Messages.
+        """
+        exchange = self.exchanges_by_id.get(exchange_id)
+        if exchange is not None and exchange.view is not None:
+            yield SendTo(exchange.view.node, m.Credit(exchange.number, n_bytes))
+
+    def cancel(self, exchange_id: int) -> Iterator[NamedTuple]:
+        """Drop an exchange whose caller is gone.
+
+        :param exchange_id: Id of the exchange.
+        :returns: Messages.
+        """
+        exchange = self.exchanges_by_id.get(exchange_id)
+        if exchange is None:
+            return
+        if exchange.view is not None:
+            yield SendTo(exchange.view.node, m.Cancel(exchange.number))
+        yield self._decision(exchange, "cancelled", "caller-gone")
+        self._forget(exchange)
+
+    def lose_node(self, node: str, now: float) -> Iterator[NamedTuple]:
+        """Handle the loss of the link to an exit.
+
+        :param node: Node id of the exit.
+        :param now: Clock reading in seconds.
+        :returns: Messages.
+        """
+        for exchange in list(self._exchanges_by_number.values()):
+            if exchange.view is not None and exchange.view.node == node:
+                yield from self._lose(exchange, 502, "link-lost", now)
+
+    def tick(self, now: float) -> Iterator[NamedTuple]:
+        """End exchanges whose deadline is over.
+
+        :param now: Clock reading in seconds.
+        :returns: Messages.
+        """
+        while self._deadlines and self._deadlines[0][0] <= now:
+            _, exchange_id = heapq.heappop(self._deadlines)
+            exchange = self.exchanges_by_id.get(exchange_id)
+            if exchange is None:
+                continue
+            if exchange.view is not None:
+                yield SendTo(exchange.view.node, m.Cancel(exchange.number))
+                exchange.may_have_run = True
+            yield from self._end_unanswered(exchange, 504, "response-timeout")
+
+    def _lose(
+        self, exchange: EntryExchange, status: int, reason: str, now: float
+    ) -> Iterator[NamedTuple]:
+        """Handle an attempt that may have run and brought no whole answer."""
+        target = exchange.view.target
+        exchange.may_have_run = True
+        exchange.refused_by |= {target}
+        self._release(exchange)
+        yield self._decision(exchange, "lost", reason, target)
+        is_open = exchange.idempotent and not exchange.response_started
+        if is_open and self._may_retry(exchange, now):
+            yield from self._attempt(exchange, now)
+        else:
+            yield from self._end_unanswered(exchange, status, reason)
+
+    def _may_retry(self, exchange: EntryExchange, now: float) -> bool:
+        if exchange.n_attempts >= self._max_attempts or exchange.body_dropped:
+            return False
+        return now < exchange.deadline_s and self._budget.take(now)
+
+    def _end_unanswered(
+        self,
+        exchange: EntryExchange,
+        status: int,
+        reason: str,
+        retry_after_s: float = RETRY_SOON_S,
+    ) -> Iterator[NamedTuple]:
+        outcome: Outcome = Refused(503, reason, max(retry_after_s, 0.2))
+        if exchange.may_have_run:
+            outcome = Unknown(504 if status == 504 else 502, reason)
+        if exchange.response_started:
+            yield ReplyAbort(exchange.exchange)
+        else:
+            yield from refusal_reply(exchange.exchange, outcome)
+        action = "not run" if isinstance(outcome, Refused) else "outcome unknown"
+        yield self._decision(exchange, action, reason)
+        self._forget(exchange)
+
+    def _release(self, exchange: EntryExchange) -> None:
+        """Detach an exchange from its target."""
+        self._exchanges_by_number.pop(exchange.number, None)
+        if exchange.view is not None:
+            exchange.view.n_open -= 1
+            exchange.view = None
+
+    def _forget(self, exchange: EntryExchange) -> None:
+        self._release(exchange)
+        self.exchanges_by_id.pop(exchange.exchange, None)
+
+    def _decision(
+        self, exchange: EntryExchange, action: str, reason: str, target: str = ""
+    ) -> Decision:
+        if not target and exchange.view is not None:
+            target = exchange.view.target
+        service = exchange.service.id
+        return Decision(
+            exchange.exchange, action, service, exchange.customer, target, reason
+        )
+
+
+def refusal_reply(exchange_id: int, outcome: Outcome) -> Iterator[NamedTuple]:
+    """Yield a whole response that tells a caller about an outcome.
+
+    :param exchange_id: Id of the exchange.
+    :param outcome: A refusal or an unknown outcome.
+    :returns: Messages.
+    """
+    text = "not run" if isinstance(outcome, Refused) else "outcome unknown"
+    body = f"{text}: {outcome.reason}\n".encode()
+    fields = (
+        *reply_fields(outcome),
+        (b"content-type", b"text/plain; charset=utf-8"),
+        (b"content-length", str(len(body)).encode()),
+    )
+    yield ReplyHead(exchange_id, outcome.status, fields)
+    yield ReplyBody(exchange_id, body)
+    yield ReplyEnd(exchange_id)
--- /dev/null
+++ b/src/heatherspur/http/__init__.py
@@ -0,0 +1,51 @@
+"""HTTP/1.1 towards callers and targets, without any socket of its own."""
+
+from heatherspur.http.caller import CallerProtocol
+from heatherspur.http.conf import (
+    HTTP_SETTINGS,
+    FieldError,
+    HttpSettings,
+)
+from heatherspur.http.fields import (
+    CUSTOMER_FIELD,
+    DEADLINE_FIELD,
+    KEY_FIELD,
+    OUTCOME_FIELD,
+    SHED_FIELD,
+    CallerFields,
+    Field,
+    caller_fields,
+    target_fields,
+)
+from heatherspur.http.messages import (
+    BodyChunk,
+    Fault,
+    HttpEvent,
+    MessageEnd,
+    RequestHead,
+    ResponseHead,
+)
+from heatherspur.http.target import TargetProtocol
+
+__all__ = [
+    "CUSTOMER_FIELD",
+    "DEADLINE_FIELD",
+    "HTTP_SETTINGS",
+    "KEY_FIELD",
+    "OUTCOME_FIELD",
+    "SHED_FIELD",
+    "BodyChunk",
+    "CallerFields",
+    "CallerProtocol",
+    "Fault",
+    "Field",
+    "FieldError",
+    "HttpEvent",
+    "HttpSettings",
+    "MessageEnd",
+    "RequestHead",
+    "ResponseHead",
+    "TargetProtocol",
+    "caller_fields",
+    "target_fields",
+]
--- /dev/null
+++ b/src/heatherspur/http/conf.py
@@ -0,0 +1,60 @@
+"""Settings and errors of the HTTP subpackage."""
+
+from typing import NamedTuple
+
+from heatherspur.core import HeatherspurError, Setting, count, seconds
+
+__all__ = ["HTTP_SETTINGS", "FieldError", "HttpSettings"]
+
+
+class HttpSettings(NamedTuple):
+    """Limits on what callers may send.
+
+    :param max_head_bytes: Longest request line and fields, in bytes.
+    :param head_timeout_s: Seconds that a caller has for a whole request head.
+    :param idle_timeout_s: Seconds until an idle caller connection is closed.
+    :param max_callers: Most caller connections at a time.
+    """
+
+    max_head_bytes: int
+    head_timeout_s: float
+    idle_timeout_s: float
+    max_callers: int
+
+
+HTTP_SETTINGS: tuple[Setting, ...] = (
+    count(
+        "max_head_bytes",
+        "16384",
+        1024,
+        65536,
+        "Longest request line and fields from a caller, in bytes.",
+    ),
+    seconds(
+        "head_timeout_s",
+        "10",
+        0.1,
+        300,
+        "Time that a caller has to send a whole request head.",
+    ),
+    seconds(
+        "idle_timeout_s",
+        "60",
+        1,
+        3600,
+        "Time after which an idle caller connection is closed.",
+    ),
+    count("max_callers", "2000", 1, 60000, "Most caller connections at a time."),
+)
+
+
+class FieldError(HeatherspurError):
+    """A request field is not acceptable.
+
+    :param status: HTTP status code of the refusal.
+    :param reason: What is wrong, for the caller.
+    """
+
+    def __init__(self, status: int, reason: str) -> None:
+        super().__init__("check request fields", "caller", reason)
+        self.status = status
--- /dev/null
+++ b/src/heatherspur/http/fields.py
@@ -0,0 +1,165 @@
+"""Which fields may pass between callers and targets.
+
+Fields that concern one connection only (RFC 9110, section 7.6.1) are removed on
+the way, and so is every field by which a caller could claim an identity.
+"""
+
+from collections.abc import Iterable, Iterator
+from typing import NamedTuple
+from urllib.parse import unquote_to_bytes, urlsplit
+
+from result import Err, Ok, Result
+
+from heatherspur.http.conf import FieldError
+
+__all__ = [
+    "CUSTOMER_FIELD",
+    "DEADLINE_FIELD",
+    "KEY_FIELD",
+    "OUTCOME_FIELD",
+    "SHED_FIELD",
+    "CallerFields",
+    "Field",
+    "caller_fields",
+    "target_fields",
+]
+
+Field = tuple[bytes, bytes]
+
+OWN_PREFIX = b"heatherspur-"
+KEY_FIELD = b"heatherspur-key"
+CUSTOMER_FIELD = b"heatherspur-customer"
+DEADLINE_FIELD = b"heatherspur-deadline-ms"
+OUTCOME_FIELD = b"heatherspur-outcome"
+SHED_FIELD = b"heatherspur-shed"
+
+HOP_BY_HOP_FIELDS = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"expect",
+    )
+)
+MIN_KEY_LENGTH = 16
+MAX_KEY_LENGTH = 256
+MAX_DEADLINE_MS = 3_600_000
+
+
+class CallerFields(NamedTuple):
+    """What a request head says, sorted into what is used here and what passes.
+
+    :param key: The caller's key, or ``None``.
+    :param deadline_ms: Time that the caller grants, in milliseconds, or ``None``.
+    :param path: Request target in origin form.
+    :param fields: Fields that may pass to the target.
+    """
+
+    key: bytes | None
+    deadline_ms: int | None
+    path: str
+    fields: tuple[Field, ...]
+
+
+def _named_in_connection(fields: Iterable[Field]) -> frozenset[bytes]:
+    """Return the field names that the Connection field lists."""
+    values = (value for name, value in fields if name == b"connection")
+    names = (name.strip().lower() for value in values for name in value.split(b","))
+    return frozenset(names)
+
+
+def _passing(fields: tuple[Field, ...]) -> Iterator[Field]:
+    dropped = _named_in_connection(fields) | HOP_BY_HOP_FIELDS
+    for name, value in fields:
+        if name not in dropped and not name.startswith(OWN_PREFIX):
+            yield name, value
+
+
+def _single(fields: Iterable[Field], name: bytes) -> Result[bytes | None, FieldError]:
+    values = [value for field, value in fields if field == name]
+    if len(values) > 1:
+        return Err(FieldError(400, f"field {name.decode()} is repeated"))
+    return Ok(values[0] if values else None)
+
+
+def _origin_form(target: str) -> Result[str, FieldError]:
+    """Return the request target as path and query."""
+    if target.startswith("/"):
+        return Ok(target)
+    if target == "*":
+        return Err(FieldError(400, "request target * is not served"))
+    parts = urlsplit(target)
+    if parts.scheme.lower() not in ("http", "https") or "@" in parts.netloc:
+        return Err(FieldError(400, "request target has an unusable form"))
+    query = f"?{parts.query}" if parts.query else ""
+    return Ok((parts.path or "/") + query)
+
+
+def _contains_key(key: bytes, text: bytes) -> bool:
+    """Tell whether the text holds the key, plain, in other case or encoded."""
+    folded = key.lower()
+    plain = text.lower()
+    if folded in plain:
+        return True
+    if b"%" not in plain:
+        return False
+    once = unquote_to_bytes(plain)
+    return folded in once.lower() or folded in unquote_to_bytes(once).lower()
+
+
+def _leaks(key: bytes, target: str, fields: Iterable[Field]) -> bool:
+    if _contains_key(key, target.encode("latin-1")):
+        return True
+    return any(
+        _contains_key(key, name) or _contains_key(key, value) for name, value in fields
+    )
+
+
+def _deadline(value: bytes | None) -> Result[int | None, FieldError]:
+    if value is None:
+        return Ok(None)
+    if not value.isdigit() or not 0 < int(value[:12]) <= MAX_DEADLINE_MS:
+        return Err(FieldError(400, f"{DEADLINE_FIELD.decode()} is no number of ms"))
+    return Ok(int(value))
+
+
+def caller_fields(target: str, fields: tuple[Field, ...]) -> Result:
+    """Sort the fields of a request from a caller.
+
+    The key is taken from its own field only. A request that repeats the key
+    anywhere else in its head is refused, since that part would reach the target.
+
+    :param target: Request target as sent.
+    :param fields: Fields as sent, names in lower case.
+    :returns: :class:`CallerFields`, or a :class:`FieldError`.
+    """
+    path = _origin_form(target)
+    key = _single(fields, KEY_FIELD)
+    deadline = _single(fields, DEADLINE_FIELD).and_then(_deadline)
+    for outcome in (path, key, deadline):
+        if outcome.is_err():
+            return outcome
+    passing = tuple(_passing(fields))
+    secret = key.ok_value
+    if secret is not None:
+        if not MIN_KEY_LENGTH <= len(secret) <= MAX_KEY_LENGTH:
+            return Err(FieldError(401, "the key has a wrong length"))
+        if _leaks(secret, target, passing):
+            reason = f"the key may stand in the field {KEY_FIELD.decode()} only"
+            return Err(FieldError(400, reason))
+    return Ok(CallerFields(secret, deadline.ok_value, path.ok_value, passing))
+
+
+def target_fields(fields: tuple[Field, ...]) -> tuple[Field, ...]:
+    """Return the fields of a target's answer that may pass to the caller.
+
+    :param fields: Fields as sent, names in lower case.
+    :returns: Fields without those of the connection and of this program.
+    """
+    return tuple(_passing(fields))
--- /dev/null
+++ b/src/heatherspur/http/target.py
@@ -0,0 +1,85 @@
+"""The client side of one HTTP connection, as events in and bytes out."""
+
+from collections.abc import Iterator
+
+import h11
+
+from heatherspur.http.fields import Field
+from heatherspur.http.messages import BodyChunk, Fault, HttpEvent, MessageEnd
+from heatherspur.http.messages import ResponseHead as Head
+
+__all__ = ["TargetProtocol"]
+
+BAD_GATEWAY = 502
+
+
+class TargetProtocol:
+    """One connection to a target."""
+
+    def __init__(self) -> None:
+        self._connection = h11.Connection(h11.CLIENT)
+
+    @property
+    def reusable(self) -> bool:
+        """Whether another request may follow on this connection."""
+        done = self._connection.our_state is h11.DONE
+        return done and self._connection.their_state is h11.DONE
+
+    def send_request(self, method: str, path: str, fields: tuple[Field, ...]) -> bytes:
+        """Return the bytes of a request head.
+
+        :param method: Method in capitals.
+        :param path: Request target in origin form.
+        :param fields: Fields, names in lower case.
+        :raises h11.LocalProtocolError: If they make no valid request.
+        """
+        return self._connection.send(
+            h11.Request(method=method, target=path, headers=list(fields))
+        )
+
+    def send_body(self, data: bytes) -> bytes:
+        """Return the bytes of a part of the body.
+
+        :param data: The part.
+        """
+        return self._connection.send(h11.Data(data=data))
+
+    def send_end(self) -> bytes:
+        """Return the bytes that end the request."""
+        return self._connection.send(h11.EndOfMessage())
+
+    def receive(self, data: bytes) -> Iterator[HttpEvent]:
+        """Take bytes from the target; ``b""`` means that it closed.
+
+        :param data: The bytes.
+        :returns: The events that they complete.
+        """
+        try:
+            self._connection.receive_data(data)
+        except RuntimeError:
+            return
+        yield from self._events()
+
+    def _events(self) -> Iterator[HttpEvent]:
+        while True:
+            try:
+                event = self._connection.next_event()
+            except h11.RemoteProtocolError as error:
+                yield Fault(BAD_GATEWAY, str(error))
+                return
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                return
+            if isinstance(event, h11.Response):
+                fields = tuple((bytes(n), bytes(v)) for n, v in event.headers)
+                yield Head(event.status_code, fields)
+            elif isinstance(event, h11.Data):
+                yield BodyChunk(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                yield MessageEnd()
+                return
+            elif isinstance(event, h11.ConnectionClosed):
+                return
+
+    def next_request(self) -> None:
+        """Make the connection ready for another request."""
+        self._connection.start_next_cycle()
--- /dev/null
+++ b/src/heatherspur/link/codec.py
@@ -0,0 +1,103 @@
+"""Encoding of link messages as CBOR (RFC 8949), checked on the way in."""
+
+from collections.abc import Callable
+from functools import cache
+from typing import Any, get_args, get_origin, get_type_hints
+
+import cbor2
+from result import Err, Ok, Result
+
+from heatherspur.link.conf import LinkError
+from heatherspur.link.messages import CODES, Message
+
+__all__ = ["decode", "encode"]
+
+Converter = Callable[[Any], Any]
+
+TYPES_BY_CODE = {code: kind for kind, code in CODES.items()}
+
+
+def encode(message: Message) -> bytes:
+    """Encode a message.
+
+    :param message: The message.
+    :returns: Its CBOR form.
+    """
+    return cbor2.dumps((CODES[type(message)], *message))
+
+
+def decode(data: bytes, peer: str) -> Result[Message, LinkError]:
+    """Decode and check a message.
+
+    :param data: CBOR form.
+    :param peer: Who sent it, for the error.
+    :returns: The message, or what is wrong with it.
+    """
+    try:
+        parts = cbor2.loads(data)
+    except (cbor2.CBORDecodeError, ValueError, RecursionError) as error:
+        return Err(LinkError("decode message", peer, f"not CBOR: {error}"))
+    if not isinstance(parts, list) or not parts or not isinstance(parts[0], int):
+        return Err(LinkError("decode message", peer, "not an array with a code"))
+    kind = TYPES_BY_CODE.get(parts[0])
+    if kind is None:
+        return Err(LinkError("decode message", peer, f"unknown code {parts[0]}"))
+    try:
+        return Ok(_record_converter(kind)(parts[1:]))
+    except (TypeError, ValueError) as error:
+        return Err(LinkError("decode message", peer, f"{kind.__name__}: {error}"))
+
+
+@cache
+def _record_converter(kind: type) -> Converter:
+    """Return a function that turns a list into the ``NamedTuple`` given."""
+    hints = get_type_hints(kind)
+    converters = tuple(_converter(hints[name]) for name in kind._fields)
+    n_fields = len(converters)
+
+    def convert(parts: Any) -> Any:
+        if not isinstance(parts, list | tuple) or len(parts) != n_fields:
+            raise ValueError(f"expected {n_fields} fields")
+        return kind(*(c(part) for c, part in zip(converters, parts, strict=True)))
+
+    return convert
+
+
+def _converter(hint: Any) -> Converter:
+    """Return a function that checks a value against a type hint."""
+    if get_origin(hint) is tuple:
+        return _tuple_converter(get_args(hint))
+    if hasattr(hint, "_fields"):
+        return _record_converter(hint)
+    if hint is float:
+        return _float
+    return _exact(hint)
+
+
+def _tuple_converter(arguments: tuple[Any, ...]) -> Converter:
+    item_converter = _converter(arguments[0])
+    n_items = None if arguments[-1] is Ellipsis else len(arguments)
+
+    def convert(parts: Any) -> tuple[Any, ...]:
+        if not isinstance(parts, list | tuple):
+            raise TypeError("expected an array")
+        if n_items is not None and len(parts) != n_items:
+            raise ValueError(f"expected {n_items} items")
+        return tuple(item_converter(part) for part in parts)
+
+    return convert
+
+
+def _float(value: Any) -> float:
+    if type(value) not in (int, float):
+        raise TypeError(f"expected a number, got {type(value).__name__}")
+    return float(value)
+
+
+def _exact(kind: type) -> Converter:
+    def convert(value: Any) -> Any:
+        if type(value) is not kind:
+            raise TypeError(f"expected {kind.__name__}, got {type(value).__name__}")
+        return value
+
+    return convert
--- /dev/null
+++ b/src/heatherspur/link/hub.py
@@ -0,0 +1,316 @@
+"""Owns the sockets of all links: websockets frames on circuits streams."""
+
+import logging
+from collections.abc import Callable
+
+from circuits import Event, handler
+from websockets.client import ClientProtocol
+from websockets.frames import Frame, Opcode
+from websockets.http11 import Request, Response
+from websockets.protocol import State
+from websockets.server import ServerProtocol
+from websockets.uri import parse_uri
+
+from heatherspur.core import Address, now_s
+from heatherspur.link import messages as m
+from heatherspur.link.auth import Handshake
+from heatherspur.link.codec import decode, encode
+from heatherspur.link.conf import LinkSettings
+from heatherspur.net import Stream, StreamHub
+
+__all__ = ["Link", "LinkHub", "LocalLink", "link_down", "link_up", "received"]
+
+MAX_MESSAGE_BYTES = 16 * 1024 * 1024
+
+CHANNEL_BY_TYPE: dict[type, str] = {
+    m.Heartbeat: "members",
+    m.RequestHead: "exit",
+    m.RequestBody: "exit",
+    m.RequestEnd: "exit",
+    m.Cancel: "exit",
+    m.Refusal: "entry",
+    m.Failure: "entry",
+    m.ResponseHead: "entry",
+    m.ResponseBody: "entry",
+    m.ResponseEnd: "entry",
+    m.RecordsAsk: "catalogue",
+    m.Records: "catalogue",
+    m.StateOffer: "catalogue",
+    m.TokenAsk: "limits",
+    m.TokenGrant: "limits",
+    m.TokenSettle: "limits",
+    m.VouchAsk: "limits",
+    m.VouchAnswer: "limits",
+    m.PermitAsk: "ejection",
+    m.PermitAnswer: "ejection",
+}
+
+log = logging.getLogger("heatherspur.link")
+
+
+class link_up(Event):  # noqa: N801 - circuits names events in lower case
+    """A link passed its handshake.
+
+    :param link: The link.
+    """
+
+
+class link_down(Event):  # noqa: N801
+    """A link ended, or could not be opened.
+
+    :param link: The link.
+    :param reason: One short phrase.
+    """
+
+
+class received(Event):  # noqa: N801
+    """A message came over a link.
+
+    :param link: The link.
+    :param message: The message.
+    """
+
+
+def channel_of(message: m.Message, is_entry: bool) -> str | None:
+    """Return the channel of the task that takes a message.
+
+    :param message: The message.
+    :param is_entry: Whether it came over a link that this node opened.
+    :returns: The channel, or ``None`` for a message of the handshake.
+    """
+    if isinstance(message, m.Credit):
+        return "entry" if is_entry else "exit"
+    return CHANNEL_BY_TYPE.get(type(message))
+
+
+class Link:
+    """One websockets connection to another node.
+
+    :param stream: The connection below.
+    :param protocol: The websockets state machine.
+    :param handshake: The handshake of this side.
+    :param is_entry: Whether this node opened the link.
+    """
+
+    def __init__(
+        self,
+        stream: Stream,
+        protocol: ClientProtocol | ServerProtocol,
+        handshake: Handshake,
+        is_entry: bool,
+    ) -> None:
+        self.stream = stream
+        self.protocol = protocol
+        self.handshake = handshake
+        self.is_entry = is_entry
+        self.opened_at_s = now_s()
+        self.n_sent_bytes = 0
+
+    @property
+    def ready(self) -> bool:
+        """Whether messages may be sent."""
+        return self.handshake.accepted and not self.stream.closed
+
+    @property
+    def node(self) -> str:
+        """Node id of the peer."""
+        return self.handshake.peer.node
+
+    @property
+    def incarnation(self) -> str:
+        """Incarnation of the peer."""
+        return self.handshake.peer.incarnation
+
+    @property
+    def zone(self) -> str:
+        """Zone of the peer."""
+        return self.handshake.peer.zone
+
+    def send(self, message: m.Message) -> None:
+        """Send a message.
+
+        :param message: The message.
+        """
+        if self.stream.closed or self.protocol.state is not State.OPEN:
+            return
+        data = encode(message)
+        self.n_sent_bytes += len(data)
+        self.protocol.send_binary(data)
+        self.flush()
+
+    def flush(self) -> None:
+        """Write what the websockets state machine has ready."""
+        for data in self.protocol.data_to_send():
+            if data:
+                self.stream.write(data)
+            else:
+                self.stream.close()
+
+
+class LocalLink:
+    """One end of a link from a node to itself; no socket is needed.
+
+    :param hub: The link hub.
+    :param node: Own node id.
+    :param incarnation: Own incarnation.
+    :param zone: Own zone.
+    :param is_entry: Whether this is the entry end.
+    """
+
+    ready = True
+
+    def __init__(
+        self, hub: "LinkHub", node: str, incarnation: str, zone: str, is_entry: bool
+    ) -> None:
+        self._hub = hub
+        self.node = node
+        self.incarnation = incarnation
+        self.zone = zone
+        self.is_entry = is_entry
+        self.other: LocalLink | None = None
+
+    def send(self, message: m.Message) -> None:
+        """Deliver a message to the other end.
+
+        :param message: The message.
+        """
+        channel = channel_of(message, self.other.is_entry)
+        self._hub.fire(received(self.other, message), channel)
+
+
+class LinkHub(StreamHub):
+    """Opens and accepts links and passes their messages on.
+
+    :param settings: Link settings.
+    :param identity: Returns node id, incarnation and zone of this node.
+    """
+
+    def __init__(
+        self, settings: LinkSettings, identity: Callable[[], tuple[str, str, str]]
+    ) -> None:
+        super().__init__(channel="links")
+        self._settings = settings
+        self._identity = identity
+        self.n_sent_bytes = 0
+
+    def dial(self, address: Address) -> Link:
+        """Open a link as its entry side.
+
+        :param address: Link address of the other node.
+        :returns: The link; :class:`link_up` or :class:`link_down` follows.
+        """
+        protocol = ClientProtocol(
+            parse_uri(f"ws://{address}/link"), max_size=MAX_MESSAGE_BYTES
+        )
+        stream = self.connect(address, self._settings.link_timeout_s, None)
+        link = self._new_link(stream, protocol, is_entry=True)
+        stream.context = link
+        return link
+
+    def _new_link(self, stream: Stream, protocol, is_entry: bool) -> Link:
+        secret = self._settings.fleet_secret
+        handshake = Handshake(secret, *self._identity(), is_entry=is_entry)
+        return Link(stream, protocol, handshake, is_entry)
+
+    def on_connected(self, stream: Stream) -> None:
+        """Start the websockets handshake."""
+        link: Link = stream.context
+        link.protocol.send_request(link.protocol.connect())
+        link.flush()
+
+    def on_accepted(self, stream: Stream) -> None:
+        """Wait for the websockets handshake."""
+        protocol = ServerProtocol(max_size=MAX_MESSAGE_BYTES)
+        stream.context = self._new_link(stream, protocol, is_entry=False)
+
+    def on_bytes(self, stream: Stream, data: bytes) -> None:
+        """Take bytes from a peer."""
+        link: Link = stream.context
+        link.protocol.receive_data(data)
+        for event in link.protocol.events_received():
+            self._on_event(link, event)
+            if stream.closed:
+                return
+        link.flush()
+        if link.protocol.handshake_exc is not None:
+            self.lose(stream, f"handshake failed: {link.protocol.handshake_exc}")
+
+    def _on_event(self, link: Link, event: Request | Response | Frame) -> None:
+        if isinstance(event, Request):
+            link.protocol.send_response(link.protocol.accept(event))
+            link.flush()
+            return
+        if isinstance(event, Response):
+            if link.protocol.state is State.OPEN:
+                link.send(link.handshake.hello)
+            return
+        if event.opcode is Opcode.BINARY and event.fin:
+            self._on_frame(link, bytes(event.data))
+        elif event.opcode in (Opcode.BINARY, Opcode.TEXT, Opcode.CONT):
+            self._reject(link, "frame is not one binary message")
+
+    def _on_frame(self, link: Link, data: bytes) -> None:
+        decoded = decode(data, str(link.stream.peer))
+        if decoded.is_err():
+            self._reject(link, decoded.err_value.reason)
+            return
+        message = decoded.ok_value
+        if link.handshake.accepted:
+            self._pass_on(link, message)
+        else:
+            self._authenticate(link, message)
+
+    def _pass_on(self, link: Link, message: m.Message) -> None:
+        channel = channel_of(message, link.is_entry)
+        if channel is None:
+            self._reject(link, f"unexpected {type(message).__name__}")
+            return
+        self.fire(received(link, message), channel)
+
+    def open_local(self) -> "LocalLink":
+        """Return the entry end of a link from this node to itself."""
+        entry_end = LocalLink(self, *self._identity(), is_entry=True)
+        entry_end.other = LocalLink(self, *self._identity(), is_entry=False)
+        entry_end.other.other = entry_end
+        return entry_end
+
+    def _authenticate(self, link: Link, message: m.Message) -> None:
+        handshake = link.handshake
+        if isinstance(message, m.Hello):
+            problem = handshake.take_hello(message)
+            if problem is None:
+                if not link.is_entry:
+                    link.send(handshake.hello)
+                link.send(handshake.proof())
+        elif isinstance(message, m.Proof):
+            problem = handshake.take_proof(message)
+            if problem is None:
+                self.fire(link_up(link), "*")
+        else:
+            problem = f"{type(message).__name__} before the handshake"
+        if problem is not None:
+            self._reject(link, problem)
+
+    def _reject(self, link: Link, reason: str) -> None:
+        peer = str(link.stream.peer)
+        log.warning("link: message refused", extra={"peer": peer, "reason": reason})
+        link.protocol.fail(1008, reason[:100])
+        link.flush()
+        self.lose(link.stream, reason)
+
+    def on_lost(self, stream: Stream, reason: str) -> None:
+        """Report the end of a link."""
+        link: Link | None = stream.context
+        if link is not None:
+            self.fire(link_down(link, reason), "*")
+
+    @handler("tick", channel="*")
+    def _on_tick(self, now):
+        """Give up connection attempts and handshakes that take too long."""
+        self.expire_connects(now)
+        limit_s = self._settings.link_timeout_s
+        for stream in list(self.streams_by_socket.values()):
+            link: Link = stream.context
+            overdue = now - link.opened_at_s > 2 * limit_s
+            if not link.handshake.accepted and overdue:
+                self.lose(stream, "handshake timed out")
--- /dev/null
+++ b/src/heatherspur/membership/__init__.py
@@ -0,0 +1,30 @@
+"""Targets that announce themselves, and nodes that know of each other."""
+
+from heatherspur.membership.conf import (
+    MEMBERSHIP_SETTINGS,
+    AnnouncementError,
+    MembershipSettings,
+)
+from heatherspur.membership.peers import Dial, Forget, Peer, PeerTable
+from heatherspur.membership.registry import (
+    Announcement,
+    TargetChanged,
+    TargetRegistry,
+    announced,
+    parse_announcement,
+)
+
+__all__ = [
+    "MEMBERSHIP_SETTINGS",
+    "Announcement",
+    "AnnouncementError",
+    "Dial",
+    "Forget",
+    "MembershipSettings",
+    "Peer",
+    "PeerTable",
+    "TargetChanged",
+    "TargetRegistry",
+    "announced",
+    "parse_announcement",
+]
--- /dev/null
+++ b/src/heatherspur/node/app.py
@@ -0,0 +1,221 @@
+"""Assembles the tasks of one node and runs them."""
+
+import logging
+import random
+import secrets
+import signal as signals
+from typing import Any
+
+from circuits import BaseComponent, handler
+from circuits.core.pollers import EPoll
+
+from heatherspur.catalogue import Keeper, NodeRecord, new_change_id, node_leave
+from heatherspur.core import now_s
+from heatherspur.exchange import EntryCore, ExitGate
+from heatherspur.link import LinkHub
+from heatherspur.membership import PeerTable
+from heatherspur.net import Ticker
+from heatherspur.node import events
+from heatherspur.node.callers import CallerFront
+from heatherspur.node.catalogue import CatalogueTask
+from heatherspur.node.conf import NodeSettings
+from heatherspur.node.directory import LinkDirectory
+from heatherspur.node.ejection import EjectionTask
+from heatherspur.node.entry import EntryTask
+from heatherspur.node.exit import ExitTask
+from heatherspur.node.limits import LimitsTask
+from heatherspur.node.members import MembersTask
+from heatherspur.ops import NodeMetrics, OpsServer
+from heatherspur.platform import LogHub, append
+from heatherspur.routing import Chooser, RetryBudget
+
+__all__ = ["NodeApp"]
+
+TICK_S = 0.05
+INCARNATION_BYTES = 8
+MIN_STOP_S = 2.5
+LEAVE_WAIT_S = 1.0
+STOP_SIGNALS = (signals.SIGTERM, signals.SIGINT)
+
+logger = logging.getLogger("heatherspur.node")
+
+
+class NodeApp(BaseComponent):
+    """One node.
+
+    :param settings: Settings of the node.
+    """
+
+    channel = "node"
+
+    def __init__(self, settings: NodeSettings) -> None:
+        super().__init__()
+        self._settings = settings
+        self._stopping_since_s: float | None = None
+        self._leave_sent = False
+        self._leave_at_s = 0.0
+        now = now_s()
+        poller = EPoll().register(self)
+        Ticker(TICK_S).register(self)
+        self._me = NodeRecord(
+            str(settings.link),
+            secrets.token_hex(INCARNATION_BYTES),
+            settings.zone,
+            str(settings.ops),
+        )
+        self.metrics = NodeMetrics()
+        self._keeper = Keeper(now, settings.membership.isolation_s)
+        self._links = LinkDirectory()
+        self._build_routing(now)
+        self._build_tasks()
+        for hub in (self._front, self._exit, self._hub, self._log):
+            hub.attach(poller)
+
+    def _build_routing(self, now: float) -> None:
+        settings = self._settings
+        rng = random.Random(settings.seed or None)
+        routing = settings.routing
+        self._chooser = Chooser(settings.zone, rng)
+        budget = RetryBudget(routing.retry_percent, now)
+        self._core = EntryCore(self._chooser, budget, routing.max_attempts)
+        max_age_s = settings.exchange.max_request_age_s
+        self._gate = ExitGate(self._me.incarnation, max_age_s)
+        self._peers = PeerTable(self._me.node, settings.membership)
+
+    def _build_tasks(self) -> None:
+        settings, keeper, links = self._settings, self._keeper, self._links
+        me = self._me
+        identity = (me.node, me.incarnation, me.zone)
+        self._log = LogHub(settings.platform).register(self)
+        self._hub = LinkHub(settings.links, lambda: identity).register(self)
+        self._front = CallerFront(settings.http).register(self)
+        self._entry = EntryTask(self._core, keeper, links, self.metrics).register(self)
+        self._exit = ExitTask(self._gate, keeper, self.metrics).register(self)
+        interval_s = settings.platform.snapshot_interval_s
+        CatalogueTask(keeper, links, me.node, interval_s).register(self)
+        self._limits = LimitsTask(me, keeper, links, self._peers, settings.limits)
+        self._limits.register(self)
+        self._ejection = EjectionTask(
+            keeper,
+            self._chooser,
+            self._gate,
+            self._limits.fence,
+            links,
+            settings.routing,
+            self.metrics,
+        ).register(self)
+        self._members = MembersTask(
+            me,
+            self._peers,
+            keeper,
+            self._hub,
+            links,
+            self._chooser,
+            self._core,
+            self._ejection.reports,
+            settings.membership.heartbeat_s,
+        ).register(self)
+
+    @handler("started", channel="*")
+    def _on_started(self, *_):
+        settings = self._settings
+        try:
+            self._hub.listen(settings.link)
+            self._front.listen(settings.callers)
+        except OSError as error:
+            extra = {"step": "listen", "reason": str(error)}
+            logger.error("node: address can't be bound", extra=extra)
+            raise SystemExit(1) from error
+        self._members.open_local()
+        OpsServer(settings.ops, self.status, self._render_metrics).register(self)
+        extra = {
+            "zone": settings.zone,
+            "callers": str(settings.callers),
+            "link": str(settings.link),
+            "ops": str(settings.ops),
+            "incarnation": self._me.incarnation,
+        }
+        logger.info("node: started", extra=extra)
+
+    @handler("signal", channel="*")
+    def _on_signal(self, signo, _stack):
+        if signo not in STOP_SIGNALS or self._stopping_since_s is not None:
+            return
+        self._stopping_since_s = now_s()
+        logger.info("node: stopping", extra={"work_in_hand": self._n_open})
+        self.fire(events.stop_node(), "*")
+
+    @property
+    def _n_open(self) -> int:
+        return self._front.n_exchanges + self._exit.n_exchanges
+
+    @handler("tick", channel="*")
+    def _on_tick(self, now):
+        if self._stopping_since_s is None:
+            return
+        age_s = now - self._stopping_since_s
+        is_done = self._n_open == 0 and age_s > MIN_STOP_S
+        if not is_done and age_s <= self._settings.exchange.drain_s:
+            return
+        if not self._leave_sent:
+            self._leave_sent = True
+            record = node_leave(new_change_id(), self._me.node, self._me.incarnation)
+            self.fire(append(record), "log")
+            self._leave_at_s = now
+        elif now - self._leave_at_s > LEAVE_WAIT_S or self._log.idle:
+            logger.info("node: stopped", extra={"work_in_hand": self._n_open})
+            raise SystemExit(0)
+
+    @handler("exception", channel="*")
+    def _on_exception(self, error_type, value, traceback, handler=None, fevent=None):
+        extra = {"step": str(fevent), "reason": f"{error_type.__name__}: {value}"}
+        lines = "".join(traceback) if isinstance(traceback, list) else str(traceback)
+        logger.error("node: internal error", extra={**extra, "traceback": lines})
+
+    def status(self) -> dict[str, Any]:
+        """Return what operators may want to know of this node."""
+        now = now_s()
+        keeper, fence = self._keeper, self._limits.fence
+        return {
+            "node": self._me.node,
+            "incarnation": self._me.incarnation,
+            "zone": self._me.zone,
+            "stopping": self._stopping_since_s is not None,
+            "catalogue": {
+                "offset": keeper.fold.offset,
+                "head_age_s": round(keeper.head_age_s(now), 3),
+                "log_reachable": self._log.reachable,
+                "admits_keys": keeper.may_admit_keys(now),
+                "n_keys": len(keeper.fold.owners_by_digest),
+            },
+            "limits": {
+                "epoch": fence.epoch,
+                "shares": [list(run) for run in fence.runs],
+                "lending": [
+                    run.share for run in fence.runs if fence.may_lend(run, now)
+                ],
+            },
+            "nodes": [peer.node for peer in self._peers.alive(now)],
+            "targets": [
+                {
+                    "node": view.node,
+                    "reachable": view.reachable,
+                    **view.report._asdict(),
+                }
+                for view in self._chooser.all_views()
+            ],
+            "work_in_hand": self._n_open,
+        }
+
+    def _render_metrics(self) -> tuple[bytes, str]:
+        now = now_s()
+        counts = {
+            "callers": self._front.n_callers,
+            "exchanges_entry": self._front.n_exchanges,
+            "exchanges_exit": self._exit.n_exchanges,
+            "nodes_alive": sum(1 for _ in self._peers.alive(now)),
+            "catalogue_offset": self._keeper.fold.offset,
+            "log_appends": self._log.n_appends,
+            "limit_accounts": self._limits.borrower.n_accounts,
+        }
+        return self.metrics.render(counts)
--- /dev/null
+++ b/src/heatherspur/node/ejection.py
@@ -0,0 +1,212 @@
+"""Judges the targets beside this node and keeps permits of services."""
+
+import logging
+
+from circuits import BaseComponent, handler
+
+from heatherspur.catalogue import Keeper
+from heatherspur.core import now_s, stable_hash
+from heatherspur.exchange import ExitGate
+from heatherspur.limits import Fence
+from heatherspur.link import messages as m
+from heatherspur.membership import Announcement
+from heatherspur.node import events
+from heatherspur.node.directory import LinkDirectory
+from heatherspur.ops import NodeMetrics
+from heatherspur.routing import (
+    AskPermit,
+    Chooser,
+    PeerSample,
+    PermitLedger,
+    RoutingSettings,
+    StateChanged,
+    TargetEjector,
+)
+
+__all__ = ["EjectionTask"]
+
+logger = logging.getLogger("heatherspur.ejection")
+
+
+class EjectionTask(BaseComponent):
+    """Ejection on one node.
+
+    :param keeper: The catalogue in force; read only.
+    :param chooser: Reports of all targets; read only.
+    :param gate: Slots of the targets beside this node; read only but for probing.
+    :param fence: The right to keep permits.
+    :param links: Links to other nodes.
+    :param settings: Routing settings.
+    :param metrics: Metrics of the node.
+    """
+
+    channel = "ejection"
+
+    def __init__(
+        self,
+        keeper: Keeper,
+        chooser: Chooser,
+        gate: ExitGate,
+        fence: Fence,
+        links: LinkDirectory,
+        settings: RoutingSettings,
+        metrics: NodeMetrics,
+    ) -> None:
+        super().__init__()
+        self._keeper = keeper
+        self._chooser = chooser
+        self._gate = gate
+        self._fence = fence
+        self._links = links
+        self._settings = settings
+        self._metrics = metrics
+        self._permits = PermitLedger(settings.permit_lapse_s)
+        self._announcements_by_target: dict[str, Announcement] = {}
+        self.ejectors_by_target: dict[str, TargetEjector] = {}
+        self._stopping = False
+
+    def reports(self) -> tuple[m.TargetReport, ...]:
+        """Return one report a target beside this node."""
+        pairs = self._announcements_by_target.items()
+        return tuple(self._report(target, announced) for target, announced in pairs)
+
+    def _report(self, target: str, announced: Announcement) -> m.TargetReport:
+        ejector = self.ejectors_by_target[target]
+        gate = self._gate.gates_by_target.get(target)
+        mean, spread, bad_ratio = ejector.detector.own_sample
+        return m.TargetReport(
+            target=target,
+            service=announced.service,
+            slots=announced.slots,
+            n_busy=len(gate.running) if gate else 0,
+            n_queued=gate.n_waiting if gate else 0,
+            state="draining" if self._stopping else ejector.state,
+            log_ms_mean=mean,
+            log_ms_spread=spread,
+            bad_ratio=bad_ratio,
+            n_total=ejector.detector.n_total,
+        )
+
+    @handler("target_changed")
+    def _on_target_changed(self, change):
+        announced = change.announcement
+        target = announced.target
+        if change.state == "gone":
+            self._announcements_by_target.pop(target, None)
+            self.ejectors_by_target.pop(target, None)
+            self.fire(events.report_now(), "members")
+            return
+        self._announcements_by_target[target] = announced
+        ejector = self.ejectors_by_target.get(target)
+        if ejector is None:
+            ejector = self._new_ejector(announced)
+            self.ejectors_by_target[target] = ejector
+        now = now_s()
+        if change.state == "draining":
+            self._run(ejector.drain_target())
+        else:
+            self._run(ejector.restart_target(now))
+        self.fire(events.report_now(), "members")
+
+    def _new_ejector(self, announced: Announcement) -> TargetEjector:
+        service = self._keeper.fold.services_by_id.get(announced.service)
+        service_class = service.service_class if service else "steady"
+        return TargetEjector(
+            announced.service,
+            announced.target,
+            service_class,
+            self._settings,
+            now_s(),
+        )
+
+    @handler("target_sample")
+    def _on_target_sample(self, target, service_ms, failed):
+        ejector = self.ejectors_by_target.get(target)
+        if ejector is not None:
+            self._run(ejector.note(service_ms, failed, now_s()))
+
+    @handler("received")
+    def _on_received(self, link, message):
+        if isinstance(message, m.PermitAsk):
+            link.send(self._answer(message, now_s()))
+        elif isinstance(message, m.PermitAnswer):
+            ejector = self.ejectors_by_target.get(message.target)
+            if ejector is not None:
+                self._run(ejector.answer(message.round, message.granted, now_s()))
+
+    def _answer(self, ask: m.PermitAsk, now: float) -> m.PermitAnswer:
+        service = self._keeper.fold.services_by_id.get(ask.service)
+        granted = False
+        if service is not None and self._keeps_permits(ask.service, now):
+            views = self._chooser.views(ask.service).values()
+            n_live = sum(v.reachable and v.report.state != "draining" for v in views)
+            granted = self._permits.ask(
+                ask.service, ask.target, n_live, service.floor, now
+            )
+        extra = {"service": ask.service, "target": ask.target, "granted": granted}
+        logger.info("ejection: permit asked", extra=extra)
+        return m.PermitAnswer(ask.service, ask.target, ask.round, granted)
+
+    def _permit_share(self, service: str) -> int:
+        return stable_hash(service) % len(self._fence.table.shares)
+
+    def _keeps_permits(self, service: str, now: float) -> bool:
+        if self._fence.table is None:
+            return False
+        share = self._permit_share(service)
+        runs = [run for run in self._fence.runs if run.share == share]
+        return any(self._fence.may_lend(run, now) for run in runs)
+
+    @handler("stop_node", channel="*")
+    def _on_stop_node(self):
+        self._stopping = True
+        self.fire(events.report_now(), "members")
+
+    @handler("tick", channel="*")
+    def _on_tick(self, now):
+        for target, ejector in self.ejectors_by_target.items():
+            announced = self._announcements_by_target[target]
+            ejector.detector.update_peers(self._samples(announced))
+            gate = self._gate.gates_by_target.get(target)
+            running = gate.running.values() if gate else ()
+            ages_ms = tuple((now - started_s) * 1000 for _, started_s in running)
+            self._run(ejector.tick(ages_ms, now))
+
+    def _samples(self, announced: Announcement):
+        for view in self._chooser.views(announced.service).values():
+            report = view.report
+            if report.target == announced.target or not view.reachable:
+                continue
+            if report.state in ("active", "suspected", "starting"):
+                yield PeerSample(
+                    report.target,
+                    report.log_ms_mean,
+                    report.log_ms_spread,
+                    report.bad_ratio,
+                    report.n_total,
+                )
+
+    def _run(self, messages) -> None:
+        """Carry out what an ejector decided."""
+        for message in messages:
+            if isinstance(message, AskPermit):
+                self._ask(message)
+            elif isinstance(message, StateChanged):
+                self._change(message)
+
+    def _ask(self, message: AskPermit) -> None:
+        table = self._fence.table
+        if table is None:
+            return
+        holder = table.shares[self._permit_share(message.service)].node
+        link = self._links.entry_links_by_node.get(holder)
+        if link is not None:
+            link.send(m.PermitAsk(*message))
+
+    def _change(self, message: StateChanged) -> None:
+        gate = self._gate.gates_by_target.get(message.target)
+        if gate is not None:
+            gate.probing = message.new == "probing"
+        self._metrics.note_state(message)
+        logger.info("ejection: target %s", message.new, extra=message._asdict())
+        self.fire(events.report_now(), "members")
--- /dev/null
+++ b/src/heatherspur/node/entry.py
@@ -0,0 +1,226 @@
+"""Admits callers' requests and drives their exchanges."""
+
+import logging
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from circuits import BaseComponent, handler
+from result import Err, Ok, Result
+
+from heatherspur.catalogue import Keeper, ServiceEntry, key_digest
+from heatherspur.core import now_s
+from heatherspur.exchange import (
+    Decision,
+    EntryCore,
+    EntryExchange,
+    Refused,
+    ReplyAbort,
+    ReplyBody,
+    ReplyEnd,
+    ReplyHead,
+    SendTo,
+    refusal_reply,
+)
+from heatherspur.http import FieldError, RequestHead, caller_fields
+from heatherspur.node import events
+from heatherspur.node.directory import LinkDirectory
+from heatherspur.ops import NodeMetrics
+
+__all__ = ["OPEN_PREFIX", "EntryTask"]
+
+OPEN_PREFIX = "open:"
+RETRY_ISOLATED_S = 3.0
+
+logger = logging.getLogger("heatherspur.entry")
+
+
+class Admission(NamedTuple):
+    """A request that may run if its customer has a token.
+
+    :param exchange: The exchange.
+    :param limit_name: Name under which its tokens are counted.
+    """
+
+    exchange: EntryExchange
+    limit_name: str
+
+
+class EntryTask(BaseComponent):
+    """The entry side of a node.
+
+    :param core: The exchanges.
+    :param keeper: The catalogue in force; read only.
+    :param links: Links to exits.
+    :param metrics: Metrics of the node.
+    """
+
+    channel = "entry"
+
+    def __init__(
+        self,
+        core: EntryCore,
+        keeper: Keeper,
+        links: LinkDirectory,
+        metrics: NodeMetrics,
+    ) -> None:
+        super().__init__()
+        self._core = core
+        self._keeper = keeper
+        self._links = links
+        self._metrics = metrics
+        self._limits_by_exchange: dict[int, int] = {}
+        self._paused: set[int] = set()
+
+    @handler("caller_request")
+    def _on_caller_request(self, exchange, head):
+        now = now_s()
+        admission = self._admit(exchange, head, now)
+        if admission.is_err():
+            outcome = admission.err_value
+            self._log_refusal(exchange, head, outcome)
+            self.fire(events.reply(list(refusal_reply(exchange, outcome))), "callers")
+            return
+        accepted: Admission = admission.ok_value
+        self._core.open(accepted.exchange)
+        self._metrics.open_at(exchange, now)
+        self.fire(events.acquire(accepted.limit_name, exchange), "limits")
+
+    def _log_refusal(self, exchange: int, head: RequestHead, outcome: Refused) -> None:
+        self._metrics.count_outcome("", "", "not-run", outcome.reason)
+        extra = {"exchange": exchange, "method": head.method, "reason": outcome.reason}
+        logger.info("entry: not run", extra=extra)
+
+    def _admit(
+        self, exchange: int, head: RequestHead, now: float
+    ) -> Result[Admission, Refused]:
+        """Check key, route and length of a request."""
+        sorted_fields = caller_fields(head.target, head.fields)
+        if sorted_fields.is_err():
+            error: FieldError = sorted_fields.err_value
+            return Err(Refused(error.status, error.reason))
+        fields = sorted_fields.ok_value
+        fold = self._keeper.fold
+        match = fold.routes.find(fields.path)
+        if match is None:
+            is_ready = self._keeper.has_state
+            return Err(Refused(404 if is_ready else 503, "no-route"))
+        service = fold.services_by_id[match.service]
+        digest = key_digest(fields.key) if fields.key is not None else b""
+        customer = self._customer(digest, match.route.open, now)
+        if customer.is_err():
+            return customer
+        length = _content_length(head)
+        if length is not None and length > service.max_body_bytes:
+            return Err(Refused(413, "body-too-long"))
+        timeout_ms = min(service.timeout_ms, fields.deadline_ms or service.timeout_ms)
+        new = EntryExchange(
+            exchange=exchange,
+            service=service,
+            customer=customer.ok_value,
+            key_digest=digest,
+            method=head.method,
+            path=fields.path,
+            fields=fields.fields,
+            idempotent=head.method in match.route.idempotent_methods,
+            has_body=head.has_body,
+            deadline_s=now + timeout_ms / 1000,
+            started_at_s=now,
+        )
+        return Ok(Admission(new, customer.ok_value or OPEN_PREFIX + service.id))
+
+    def _customer(
+        self, digest: bytes, is_open: bool, now: float
+    ) -> Result[str, Refused]:
+        """Return whom a request runs for; empty for a caller without a key."""
+        if not digest:
+            return Ok("") if is_open else Err(Refused(401, "key-missing"))
+        if not self._keeper.may_admit_keys(now):
+            return Err(Refused(503, "catalogue-not-current", RETRY_ISOLATED_S))
+        owner = self._keeper.fold.owners_by_digest.get(digest)
+        if owner is None:
+            return Err(Refused(401, "key-not-in-force"))
+        if owner.customer not in self._keeper.fold.customers_by_id:
+            return Err(Refused(403, "customer-not-in-force"))
+        return Ok(owner.customer)
+
+    @handler("admitted")
+    def _on_admitted(self, exchange):
+        self._run(self._core.admit(exchange, now_s()))
+
+    @handler("limited")
+    def _on_limited(self, exchange, retry_after_s, over_limit):
+        status, reason = (429, "over-limit") if over_limit else (503, "no-limit-holder")
+        self._run(self._core.refuse(exchange, Refused(status, reason, retry_after_s)))
+
+    @handler("caller_body")
+    def _on_caller_body(self, exchange, data):
+        known = self._core.exchanges_by_id.get(exchange)
+        if known is None:
+            return
+        service: ServiceEntry = known.service
+        if known.n_body_bytes + len(data) > service.max_body_bytes:
+            self._run(self._core.overflow(exchange))
+            return
+        self._run(self._core.body(exchange, data))
+        if not self._core.wants_body(exchange):
+            self._paused.add(exchange)
+            self.fire(events.pause_body(exchange, True), "callers")
+
+    @handler("caller_end")
+    def _on_caller_end(self, exchange):
+        self._run(self._core.body_end(exchange))
+
+    @handler("caller_gone")
+    def _on_caller_gone(self, exchange):
+        self._run(self._core.cancel(exchange))
+
+    @handler("caller_took")
+    def _on_caller_took(self, exchange, n_bytes):
+        self._run(self._core.credit_caller(exchange, n_bytes))
+
+    @handler("received")
+    def _on_received(self, link, message):
+        self._run(self._core.receive(message, link.node, now_s()))
+        if self._paused:
+            self._resume_bodies()
+
+    def _resume_bodies(self) -> None:
+        for exchange in list(self._paused):
+            if self._core.wants_body(exchange):
+                self._paused.discard(exchange)
+                self.fire(events.pause_body(exchange, False), "callers")
+
+    @handler("node_lost")
+    def _on_node_lost(self, node):
+        self._run(self._core.lose_node(node, now_s()))
+
+    @handler("tick", channel="*")
+    def _on_tick(self, now):
+        self._core.offset = self._keeper.fold.offset
+        self._run(self._core.tick(now))
+
+    def _run(self, messages: Iterable[NamedTuple]) -> None:
+        """Carry out what the core decided."""
+        replies = []
+        for message in messages:
+            if isinstance(message, SendTo):
+                link = self._links.entry_links_by_node.get(message.node)
+                if link is not None:
+                    link.send(message.message)
+            elif isinstance(message, Decision):
+                self._log(message)
+            elif isinstance(message, ReplyHead | ReplyBody | ReplyEnd | ReplyAbort):
+                replies.append(message)
+        if replies:
+            self.fire(events.reply(replies), "callers")
+
+    def _log(self, decision: Decision) -> None:
+        self._metrics.note_decision(decision, now_s())
+        logger.info("entry: %s", decision.action, extra=decision._asdict())
+
+
+def _content_length(head: RequestHead) -> int | None:
+    for name, value in head.fields:
+        if name == b"content-length":
+            return int(value)
+    return None
--- /dev/null
+++ b/src/heatherspur/node/exit.py
@@ -0,0 +1,476 @@
+"""Runs requests at the targets beside this node; owns the sockets to them."""
+
+import logging
+from collections import deque
+from collections.abc import Iterable
+
+import h11
+from circuits import handler
+
+from heatherspur.catalogue import Keeper
+from heatherspur.core import Address, now_s
+from heatherspur.exchange import Arrival, ExchangeKey, ExitGate, Refuse, Start
+from heatherspur.http import (
+    CUSTOMER_FIELD,
+    DEADLINE_FIELD,
+    SHED_FIELD,
+    BodyChunk,
+    Fault,
+    Field,
+    MessageEnd,
+    ResponseHead,
+    TargetProtocol,
+    target_fields,
+)
+from heatherspur.link import messages as m
+from heatherspur.membership import Announcement
+from heatherspur.net import Stream, StreamHub
+from heatherspur.node import events
+from heatherspur.node.entry import OPEN_PREFIX
+from heatherspur.ops import NodeMetrics
+
+__all__ = ["ExitTask"]
+
+CONNECT_TIMEOUT_S = 1.0
+REUSE_LIMIT_S = 1.0
+MAX_IDLE_CONNECTIONS = 8
+RESPONSE_WINDOW_BYTES = 262144
+CREDIT_STEP_BYTES = 32768
+RETRY_SOON_MS = 200
+DEFAULT_MAX_QUEUE = 64
+STATUS_UNAVAILABLE = 503
+CANCEL_MARGIN_S = 0.1
+
+logger = logging.getLogger("heatherspur.exit")
+
+
+class ExitExchange:
+    """One request at its exit.
+
+    :param key: Its name.
+    :param link: Link to the entry.
+    :param head: The request.
+    :param now: Clock reading in seconds.
+    """
+
+    def __init__(self, key: ExchangeKey, link, head: m.RequestHead, now: float):
+        self.key = key
+        self.link = link
+        self.head = head
+        self.until_s = now + head.deadline_ms / 1000
+        self.body: deque[bytes] = deque()
+        self.body_ended = not head.has_body
+        self.connection: TargetConnection | None = None
+        self.handed_over_at_s: float | None = None
+        self.head_at_s: float | None = None
+        self.queue_ms = 0.0
+        self.window = RESPONSE_WINDOW_BYTES
+        self.n_uncredited = 0
+        self.is_shed = False
+
+
+class TargetConnection:
+    """One connection to a target.
+
+    :param target: Target id.
+    :param address: Its address.
+    """
+
+    def __init__(self, target: str, address: Address) -> None:
+        self.target = target
+        self.address = address
+        self.stream: Stream | None = None
+        self.protocol = TargetProtocol()
+        self.exchange: ExitExchange | None = None
+        self.idle_since_s = 0.0
+
+
+class ExitTask(StreamHub):
+    """The exit side of a node.
+
+    :param gate: Decides what runs.
+    :param keeper: The catalogue in force; read only.
+    :param metrics: Metrics of the node.
+    """
+
+    def __init__(self, gate: ExitGate, keeper: Keeper, metrics: NodeMetrics) -> None:
+        super().__init__(channel="exit")
+        self._gate = gate
+        self._keeper = keeper
+        self._metrics = metrics
+        self._exchanges_by_key: dict[ExchangeKey, ExitExchange] = {}
+        self._announcements_by_target: dict[str, Announcement] = {}
+        self._idle_by_target: dict[str, list[TargetConnection]] = {}
+
+    @property
+    def n_exchanges(self) -> int:
+        """Number of requests that wait or run here."""
+        return len(self._exchanges_by_key)
+
+    @handler("target_changed")
+    def _on_target_changed(self, change):
+        announced = change.announcement
+        target = announced.target
+        if change.state == "ready":
+            self._announcements_by_target[target] = announced
+            service = self._keeper.fold.services_by_id.get(announced.service)
+            max_queue = service.max_queue if service else DEFAULT_MAX_QUEUE
+            self._gate.set_target(target, announced.slots, max_queue)
+            return
+        self._run(self._gate.close_target(target))
+        for connection in self._idle_by_target.pop(target, []):
+            connection.stream.close()
+
+    @handler("received")
+    def _on_received(self, link, message):
+        key = ExchangeKey(link.incarnation, message.number)
+        if isinstance(message, m.RequestHead):
+            self._on_request(key, link, message)
+            return
+        exchange = self._exchanges_by_key.get(key)
+        if exchange is None or exchange.link is not link:
+            return
+        if isinstance(message, m.RequestBody):
+            exchange.body.append(message.data)
+            self._pump(exchange)
+        elif isinstance(message, m.RequestEnd):
+            exchange.body_ended = True
+            self._pump(exchange)
+        elif isinstance(message, m.Cancel):
+            self._cancel(exchange, "cancelled")
+        elif isinstance(message, m.Credit):
+            exchange.window += message.n_bytes
+            if exchange.window > 0 and exchange.connection is not None:
+                exchange.connection.stream.resume()
+
+    def _on_request(self, key: ExchangeKey, link, head: m.RequestHead) -> None:
+        now = now_s()
+        reason = self._key_problem(head)
+        customer = head.customer or OPEN_PREFIX + head.service
+        arrival = Arrival(
+            key=key,
+            incarnation=head.incarnation,
+            echo_clock_s=head.echo_clock_s,
+            target=head.target,
+            customer=customer,
+            deadline_ms=head.deadline_ms,
+            idempotent=head.idempotent,
+        )
+        if key in self._exchanges_by_key:
+            return
+        exchange = ExitExchange(key, link, head, now)
+        self._exchanges_by_key[key] = exchange
+        messages = list(self._gate.arrive(arrival, reason, now))
+        if not messages and not self._gate.knows(key):
+            del self._exchanges_by_key[key]
+        self._run(messages)
+
+    def _key_problem(self, head: m.RequestHead) -> str | None:
+        """Check the key again: this node may know of a withdrawal first."""
+        if not head.key_digest:
+            return None
+        fold = self._keeper.fold
+        owner = fold.owners_by_digest.get(head.key_digest)
+        if owner is None:
+            return "key-not-in-force" if fold.offset >= head.offset else None
+        return None if owner.customer == head.customer else "key-of-other-customer"
+
+    def _run(self, messages: Iterable[Start | Refuse]) -> None:
+        """Carry out what the gate decided."""
+        for message in messages:
+            if isinstance(message, Start):
+                self._start(message)
+            else:
+                self._refuse(message)
+
+    def _refuse(self, refusal: Refuse) -> None:
+        exchange = self._exchanges_by_key.pop(refusal.key, None)
+        if exchange is None:
+            return
+        number = refusal.key.number
+        message = m.Refusal(number, refusal.reason, refusal.retry_after_ms)
+        exchange.link.send(message)
+        self._log("refused", exchange, refusal.reason)
+
+    def _start(self, start: Start) -> None:
+        exchange = self._exchanges_by_key.get(start.key)
+        if exchange is None:
+            self._run(self._gate.finish(start.key, None, now_s()))
+            return
+        exchange.queue_ms = start.queue_ms
+        announced = self._announcements_by_target[exchange.head.target]
+        connection = self._idle_connection(announced)
+        if connection is None:
+            connection = TargetConnection(announced.target, announced.address)
+            connection.exchange = exchange
+            exchange.connection = connection
+            connection.stream = self.connect(
+                announced.address, CONNECT_TIMEOUT_S, connection
+            )
+            return
+        connection.exchange = exchange
+        exchange.connection = connection
+        self._hand_over(exchange)
+
+    def _idle_connection(self, announced: Announcement) -> TargetConnection | None:
+        """Return a connection that was used a moment ago, so still open surely."""
+        idle = self._idle_by_target.get(announced.target, [])
+        now = now_s()
+        while idle:
+            connection = idle.pop()
+            is_fresh = now - connection.idle_since_s < REUSE_LIMIT_S
+            is_same = connection.address == announced.address
+            if is_fresh and is_same and not connection.stream.closed:
+                return connection
+            connection.stream.close()
+        return None
+
+    def on_connected(self, stream: Stream) -> None:
+        """Use a new connection to a target."""
+        connection: TargetConnection = stream.context
+        if connection.exchange is None:
+            stream.close()
+        else:
+            self._hand_over(connection.exchange)
+
+    def _hand_over(self, exchange: ExitExchange) -> None:
+        """Send the request to the target, unless its time is over by now."""
+        now = now_s()
+        if now >= exchange.until_s:
+            self._give_up(exchange, "deadline")
+            return
+        head, protocol = exchange.head, exchange.connection.protocol
+        left_ms = max(1, int((exchange.until_s - now) * 1000))
+        fields = tuple(_request_fields(head, left_ms))
+        try:
+            data = protocol.send_request(head.method, head.path, fields)
+        except h11.LocalProtocolError as error:
+            logger.warning("exit: request not sendable", extra={"reason": str(error)})
+            self._give_up(exchange, "request-invalid")
+            return
+        exchange.handed_over_at_s = now
+        exchange.connection.stream.write(data)
+        self._log("handed to target", exchange, f"queued-{exchange.queue_ms:.1f}-ms")
+        self._pump(exchange)
+
+    def _give_up(self, exchange: ExitExchange, reason: str) -> None:
+        """Refuse a request that was not handed over."""
+        connection, exchange.connection = exchange.connection, None
+        if connection is not None:
+            connection.exchange = None
+            connection.stream.close()
+        self._run(self._gate.finish(exchange.key, None, now_s()))
+        self._refuse(Refuse(exchange.key, reason, RETRY_SOON_MS))
+
+    def _pump(self, exchange: ExitExchange) -> None:
+        """Pass the request's body on, as far as the target takes it."""
+        connection = exchange.connection
+        if connection is None or exchange.handed_over_at_s is None:
+            return
+        stream, protocol = connection.stream, connection.protocol
+        try:
+            while exchange.body and not stream.congested and not stream.closed:
+                data = exchange.body.popleft()
+                stream.write(protocol.send_body(data))
+                self._credit(exchange, len(data))
+            if exchange.body_ended and not exchange.body and not stream.closed:
+                exchange.body_ended = False
+                stream.write(protocol.send_end())
+        except h11.LocalProtocolError as error:
+            logger.warning("exit: body not sendable", extra={"reason": str(error)})
+            self._fail(exchange, "request-invalid")
+
+    def _credit(self, exchange: ExitExchange, n_bytes: int) -> None:
+        """Let the entry send more, in steps."""
+        exchange.n_uncredited += n_bytes
+        if exchange.n_uncredited >= CREDIT_STEP_BYTES:
+            n_credit, exchange.n_uncredited = exchange.n_uncredited, 0
+            exchange.link.send(m.Credit(exchange.key.number, n_credit))
+
+    def on_drained(self, stream: Stream) -> None:
+        """Go on with a request body after the target took what was buffered."""
+        connection: TargetConnection = stream.context
+        if connection.exchange is not None:
+            self._pump(connection.exchange)
+
+    def on_bytes(self, stream: Stream, data: bytes) -> None:
+        """Take bytes from a target."""
+        connection: TargetConnection = stream.context
+        if connection.exchange is None:
+            stream.abort()
+            return
+        self._take(connection, data)
+
+    def _take(self, connection: TargetConnection, data: bytes) -> None:
+        for event in connection.protocol.receive(data):
+            exchange = connection.exchange
+            if exchange is None:
+                return
+            if isinstance(event, ResponseHead):
+                self._on_head(exchange, event)
+            elif isinstance(event, BodyChunk):
+                self._on_body(exchange, event.data)
+            elif isinstance(event, MessageEnd):
+                self._on_end(exchange)
+            elif isinstance(event, Fault):
+                reason = "truncated" if exchange.head_at_s else "target-protocol"
+                self._fail(exchange, reason)
+
+    def _on_head(self, exchange: ExitExchange, head: ResponseHead) -> None:
+        names = {name for name, _ in head.fields}
+        if head.status == STATUS_UNAVAILABLE and SHED_FIELD in names:
+            exchange.is_shed = True
+            return
+        exchange.head_at_s = now_s()
+        gate = self._gate.gates_by_target[exchange.head.target]
+        service_ms = (exchange.head_at_s - exchange.handed_over_at_s) * 1000
+        exchange.link.send(
+            m.ResponseHead(
+                number=exchange.key.number,
+                status=head.status,
+                fields=target_fields(head.fields),
+                queue_ms=exchange.queue_ms,
+                service_ms=service_ms,
+                n_load=len(gate.running) + gate.n_waiting - 1,
+            )
+        )
+
+    def _on_body(self, exchange: ExitExchange, data: bytes) -> None:
+        if exchange.is_shed:
+            return
+        exchange.link.send(m.ResponseBody(exchange.key.number, data))
+        exchange.window -= len(data)
+        if exchange.window <= 0:
+            exchange.connection.stream.pause()
+
+    def _on_end(self, exchange: ExitExchange) -> None:
+        """Finish an exchange whose answer is whole."""
+        connection = exchange.connection
+        connection.exchange = None
+        del self._exchanges_by_key[exchange.key]
+        now = now_s()
+        if exchange.is_shed:
+            message = m.Refusal(exchange.key.number, "shed", RETRY_SOON_MS)
+            exchange.link.send(message)
+            self._log("refused", exchange, "shed")
+            self._run(self._gate.finish(exchange.key, None, now))
+        else:
+            exchange.link.send(m.ResponseEnd(exchange.key.number))
+            service_ms = (exchange.head_at_s - exchange.handed_over_at_s) * 1000
+            total_ms = (now - exchange.handed_over_at_s) * 1000
+            self._sample(exchange, service_ms, False)
+            self._run(self._gate.finish(exchange.key, total_ms, now))
+        self._put_back(connection, now)
+
+    def _put_back(self, connection: TargetConnection, now: float) -> None:
+        """Keep a connection for the next request, if it can take one."""
+        idle = self._idle_by_target.setdefault(connection.target, [])
+        stream = connection.stream
+        if not connection.protocol.reusable or stream.closed:
+            stream.close()
+            return
+        if len(idle) >= MAX_IDLE_CONNECTIONS:
+            stream.close()
+            return
+        connection.protocol.next_request()
+        stream.resume()
+        connection.idle_since_s = now
+        idle.append(connection)
+
+    def _fail(self, exchange: ExitExchange, reason: str) -> None:
+        """End an exchange that was handed over and brought no whole answer."""
+        connection, exchange.connection = exchange.connection, None
+        connection.exchange = None
+        connection.stream.abort()
+        self._exchanges_by_key.pop(exchange.key, None)
+        now = now_s()
+        exchange.link.send(m.Failure(exchange.key.number, reason))
+        self._log("failed at target", exchange, reason)
+        service_ms = (now - exchange.handed_over_at_s) * 1000
+        self._sample(exchange, service_ms, True)
+        self._run(self._gate.finish(exchange.key, service_ms, now))
+
+    def on_lost(self, stream: Stream, reason: str) -> None:
+        """Handle the end of a connection to a target."""
+        connection: TargetConnection = stream.context
+        idle = self._idle_by_target.get(connection.target, [])
+        if connection in idle:
+            idle.remove(connection)
+        exchange = connection.exchange
+        if exchange is None:
+            return
+        if exchange.handed_over_at_s is None:
+            self._sample(exchange, CONNECT_TIMEOUT_S * 1000, True)
+            self._give_up(exchange, "connect-failed")
+            return
+        self._take(connection, b"")
+        if connection.exchange is not None:
+            self._fail(exchange, "truncated" if exchange.head_at_s else "target-lost")
+
+    def _cancel(self, exchange: ExitExchange, reason: str) -> None:
+        """Stop an exchange that nobody waits for."""
+        self._exchanges_by_key.pop(exchange.key, None)
+        self._log("cancelled", exchange, reason)
+        if self._gate.cancel(exchange.key):
+            return
+        connection, exchange.connection = exchange.connection, None
+        now = now_s()
+        if exchange.handed_over_at_s is not None and exchange.head_at_s is None:
+            age_ms = (now - exchange.handed_over_at_s) * 1000
+            is_late = now >= exchange.until_s - CANCEL_MARGIN_S
+            if is_late:
+                self._sample(exchange, age_ms, True)
+        if connection is not None:
+            connection.exchange = None
+            connection.stream.abort()
+        self._run(self._gate.finish(exchange.key, None, now))
+
+    @handler("link_down", channel="*")
+    def _on_link_down(self, link, reason):
+        if link.is_entry:
+            return
+        for exchange in list(self._exchanges_by_key.values()):
+            if exchange.link is link:
+                self._cancel(exchange, "link-lost")
+
+    @handler("stop_node", channel="*")
+    def _on_stop_node(self):
+        self._gate.stopping = True
+
+    @handler("tick", channel="*")
+    def _on_tick(self, now):
+        self.expire_connects(now)
+        self._run(list(self._gate.tick(now)))
+        for idle in self._idle_by_target.values():
+            for connection in list(idle):
+                if now - connection.idle_since_s >= REUSE_LIMIT_S:
+                    connection.stream.close()
+
+    def _sample(self, exchange: ExitExchange, service_ms: float, failed: bool) -> None:
+        target = exchange.head.target
+        sample = events.target_sample(target, service_ms, failed)
+        self.fire(sample, "ejection")
+        self._metrics.note_service(exchange.head.service, service_ms, failed)
+
+    def _log(self, action: str, exchange: ExitExchange, reason: str) -> None:
+        head = exchange.head
+        extra = {
+            "entry": exchange.link.node,
+            "number": head.number,
+            "service": head.service,
+            "customer": head.customer,
+            "target": head.target,
+            "reason": reason,
+        }
+        logger.info("exit: %s", action, extra=extra)
+
+
+def _request_fields(head: m.RequestHead, left_ms: int) -> Iterable[Field]:
+    """Yield the fields of a request as its target gets them."""
+    names = {name for name, _ in head.fields}
+    yield from head.fields
+    if head.has_body and b"content-length" not in names:
+        yield b"transfer-encoding", b"chunked"
+    if head.customer:
+        yield CUSTOMER_FIELD, head.customer.encode()
+    yield DEADLINE_FIELD, str(left_ms).encode()
--- /dev/null
+++ b/src/heatherspur/node/limits.py
@@ -0,0 +1,220 @@
+"""Borrows tokens for this node's callers and lends those of its own shares."""
+
+import logging
+from collections.abc import Iterable
+
+from circuits import BaseComponent, handler
+
+from heatherspur.catalogue import (
+    Keeper,
+    NodeRecord,
+    limit_table,
+    new_change_id,
+    share_settled,
+)
+from heatherspur.core import now_s
+from heatherspur.limits import (
+    Admitted,
+    Borrower,
+    Fence,
+    LimitSettings,
+    LiveNode,
+    Refused,
+    Run,
+    SendAsk,
+    SendSettle,
+    ShareHolder,
+    TablePlanner,
+)
+from heatherspur.link import messages as m
+from heatherspur.membership import PeerTable
+from heatherspur.node import events
+from heatherspur.node.directory import LinkDirectory
+from heatherspur.node.entry import OPEN_PREFIX
+from heatherspur.platform import append
+
+__all__ = ["LimitsTask"]
+
+UNREACHABLE_WAIT_MS = 200
+FORGET_INTERVAL_S = 10.0
+
+logger = logging.getLogger("heatherspur.limits")
+
+
+class LimitsTask(BaseComponent):
+    """Limits of one node.
+
+    :param me: Own record.
+    :param keeper: The catalogue in force; read only.
+    :param links: Links to other nodes.
+    :param peers: The other nodes; read only.
+    :param settings: Limit settings.
+    """
+
+    channel = "limits"
+
+    def __init__(
+        self,
+        me: NodeRecord,
+        keeper: Keeper,
+        links: LinkDirectory,
+        peers: PeerTable,
+        settings: LimitSettings,
+    ) -> None:
+        super().__init__()
+        now = now_s()
+        self._me = LiveNode(me.node, me.incarnation, me.zone)
+        self._keeper = keeper
+        self._links = links
+        self._peers = peers
+        self._settings = settings
+        self.borrower = Borrower(settings)
+        self.fence = Fence(me.node, me.incarnation, settings)
+        self.holders_by_run: dict[Run, ShareHolder] = {}
+        self._planner = TablePlanner(self._me, settings, now)
+        self._next_forget_s = now
+
+    @handler("acquire")
+    def _on_acquire(self, customer, exchange):
+        self._run(self.borrower.request(customer, exchange, now_s()))
+
+    def _limit_of(self, customer: str) -> tuple[float, int] | None:
+        """Return rate and burst of a customer, or of a service's open routes."""
+        fold = self._keeper.fold
+        if customer.startswith(OPEN_PREFIX):
+            service = fold.services_by_id.get(customer.removeprefix(OPEN_PREFIX))
+            return (service.open_rate, service.open_burst) if service else None
+        entry = fold.customers_by_id.get(customer)
+        return (entry.rate, entry.burst) if entry else None
+
+    @handler("received")
+    def _on_received(self, link, message):
+        now = now_s()
+        if isinstance(message, m.TokenAsk):
+            link.send(self._lend(link.incarnation, message, now))
+        elif isinstance(message, m.TokenGrant):
+            self._run(self.borrower.grant(message, now))
+        elif isinstance(message, m.TokenSettle):
+            for run, holder in self.holders_by_run.items():
+                if run.share == message.share:
+                    holder.settle(link.incarnation, message, now)
+        elif isinstance(message, m.VouchAsk):
+            self._apply_tables(now)
+            link.send(m.VouchAnswer(message.round, self.fence.vouched_epoch))
+        elif isinstance(message, m.VouchAnswer):
+            self.fence.take_answer(link.node, message.round, message.epoch)
+
+    def _lend(self, borrower: str, ask: m.TokenAsk, now: float) -> m.TokenGrant:
+        for run in self.fence.runs:
+            if run.share != ask.share or not self.fence.may_lend(run, now):
+                continue
+            holder = self.holders_by_run.get(run)
+            if holder is not None:
+                return holder.ask(borrower, ask, now)
+        return m.TokenGrant(ask.loan, ask.share, ask.customer, 0, UNREACHABLE_WAIT_MS)
+
+    @handler("catalogue_changed", channel="*")
+    def _on_catalogue_changed(self, results):
+        self._apply_tables(now_s())
+
+    def _apply_tables(self, now: float) -> None:
+        fold = self._keeper.fold
+        if fold.table is None:
+            return
+        known_epoch = self.fence.epoch
+        self.fence.apply_tables(tuple(fold.tables), fold.settled_by_share, now)
+        if self.fence.epoch == known_epoch:
+            return
+        shares = fold.table.shares
+        self.borrower.n_shares = len(shares)
+        near = [i for i, share in enumerate(shares) if share.zone == self._me.zone]
+        self.borrower.home_share = near[0] if near else 0
+        holders = [share.node for share in shares]
+        extra = {"epoch": fold.table.epoch, "holders": holders}
+        logger.info("limits: table in force", extra=extra)
+
+    @handler("tick", channel="*")
+    def _on_tick(self, now):
+        self._apply_tables(now)
+        seen_at_s = self._keeper.log_head_seen_at_s
+        if seen_at_s is not None:
+            self.fence.see_head(seen_at_s)
+        self._start_holders(now)
+        for ask in self.fence.ask(now):
+            link = self._links.entry_links_by_node.get(ask.node)
+            if link is not None:
+                link.send(m.VouchAsk(ask.round, ask.epoch))
+        self._run(self.borrower.tick(now))
+        self._plan(now)
+        if now >= self._next_forget_s:
+            self._next_forget_s = now + FORGET_INTERVAL_S
+            for holder in self.holders_by_run.values():
+                holder.forget_idle(now)
+
+    def _start_holders(self, now: float) -> None:
+        runs = self.fence.runs
+        for run in list(self.holders_by_run):
+            if run not in runs:
+                del self.holders_by_run[run]
+        for run in self.fence.newly_settled(now):
+            record = share_settled(new_change_id(), run.share, run.first_epoch)
+            self.fire(append(record), "log")
+            extra = {"share": run.share, "epoch": run.first_epoch}
+            logger.info("limits: share holder started", extra=extra)
+        for run in runs:
+            started_at_s = self.fence.started_at_s(run, now)
+            if run not in self.holders_by_run and started_at_s is not None:
+                self.holders_by_run[run] = ShareHolder(
+                    run.share,
+                    len(self.fence.table.shares),
+                    started_at_s,
+                    self._settings,
+                    self._limit_of,
+                )
+
+    def _plan(self, now: float) -> None:
+        """Propose a table, if this node reads the log and one is needed."""
+        seen_at_s = self._keeper.log_head_seen_at_s
+        if seen_at_s is None or now - seen_at_s > self._settings.limit_proof_s:
+            return
+        live = [self._me]
+        for peer in self._peers.alive(now):
+            live.append(LiveNode(peer.node, peer.incarnation, peer.zone))
+        table = self._planner.plan(self._keeper.fold.table, live, now)
+        if table is not None:
+            extra = {"epoch": table.epoch, "holders": [s.node for s in table.shares]}
+            logger.info("limits: table proposed", extra=extra)
+            self.fire(append(limit_table(new_change_id(), table)), "log")
+
+    def _run(self, messages: Iterable) -> None:
+        """Carry out what the borrower decided."""
+        for message in messages:
+            if isinstance(message, Admitted):
+                self.fire(events.admitted(message.request), "entry")
+            elif isinstance(message, Refused):
+                refusal = events.limited(
+                    message.request, message.retry_after_s, message.over_limit
+                )
+                self.fire(refusal, "entry")
+            elif isinstance(message, SendAsk):
+                self._send_ask(message.message)
+            elif isinstance(message, SendSettle):
+                link = self._link_of(message.message.share)
+                if link is not None:
+                    link.send(message.message)
+
+    def _link_of(self, share: int):
+        table = self.fence.table
+        if table is None or share >= len(table.shares):
+            return None
+        return self._links.entry_links_by_node.get(table.shares[share].node)
+
+    def _send_ask(self, ask: m.TokenAsk) -> None:
+        link = self._link_of(ask.share)
+        if link is not None:
+            link.send(ask)
+            return
+        no_grant = m.TokenGrant(
+            ask.loan, ask.share, ask.customer, 0, UNREACHABLE_WAIT_MS
+        )
+        self._run(self.borrower.grant(no_grant, now_s()))
--- /dev/null
+++ b/src/heatherspur/node/members.py
@@ -0,0 +1,202 @@
+"""Keeps links to other nodes, sends heartbeats and tracks targets' leases."""
+
+import logging
+from collections.abc import Callable
+
+from circuits import BaseComponent, handler
+
+from heatherspur.catalogue import Keeper, NodeRecord, new_change_id, node_join
+from heatherspur.catalogue import node_leave as node_leave_record
+from heatherspur.core import now_s
+from heatherspur.core.settings import parse_address
+from heatherspur.exchange import EntryCore
+from heatherspur.link import LinkHub
+from heatherspur.link.messages import Heartbeat, TargetReport
+from heatherspur.membership import Dial, PeerTable, TargetRegistry
+from heatherspur.node import events
+from heatherspur.node.directory import LinkDirectory
+from heatherspur.platform import append
+from heatherspur.routing import Chooser
+
+__all__ = ["MembersTask"]
+
+REJOIN_INTERVAL_S = 5.0
+
+logger = logging.getLogger("heatherspur.members")
+
+
+class MembersTask(BaseComponent):
+    """Membership of one node.
+
+    :param me: Own record.
+    :param peers: The other nodes.
+    :param keeper: The catalogue in force; read only.
+    :param hub: Opens links.
+    :param links: Where open links are kept.
+    :param chooser: Gets the reports of exits.
+    :param core: Gets the clocks and incarnations of exits.
+    :param reports: Returns the reports of the targets beside this node.
+    :param heartbeat_s: Seconds between heartbeats.
+    """
+
+    channel = "members"
+
+    def __init__(
+        self,
+        me: NodeRecord,
+        peers: PeerTable,
+        keeper: Keeper,
+        hub: LinkHub,
+        links: LinkDirectory,
+        chooser: Chooser,
+        core: EntryCore,
+        reports: Callable[[], tuple[TargetReport, ...]],
+        heartbeat_s: float,
+    ) -> None:
+        super().__init__()
+        self._me = me
+        self._peers = peers
+        self._keeper = keeper
+        self._hub = hub
+        self._links = links
+        self._chooser = chooser
+        self._core = core
+        self._reports = reports
+        self._heartbeat_s = heartbeat_s
+        self.registry = TargetRegistry()
+        self._dialled_by_node: dict[str, object] = {}
+        self._next_heartbeat_s = 0.0
+        self._next_join_s = 0.0
+        self._leaving = False
+
+    def open_local(self) -> None:
+        """Open the link from this node to itself."""
+        link = self._hub.open_local()
+        self._links.entry_links_by_node[self._me.node] = link
+        self._links.exit_links.add(link.other)
+        self._core.incarnations_by_node[self._me.node] = self._me.incarnation
+
+    @handler("announced")
+    def _on_announced(self, announcement):
+        for change in self.registry.announce(announcement, now_s()):
+            self._pass_on(change)
+
+    def _pass_on(self, change) -> None:
+        announcement = change.announcement
+        extra = {
+            "target": announcement.target,
+            "service": announcement.service,
+            "address": str(announcement.address),
+            "state": change.state,
+        }
+        logger.info("members: target %s", change.state, extra=extra)
+        self.fire(events.target_changed(change), "exit", "ejection")
+
+    @handler("link_up", channel="*")
+    def _on_link_up(self, link):
+        if not link.is_entry:
+            self._links.exit_links.add(link)
+            self._beat([link], now_s())
+            return
+        node = link.node
+        if self._dialled_by_node.get(node) is not link:
+            return
+        self._links.entry_links_by_node[node] = link
+        self._core.incarnations_by_node[node] = link.incarnation
+        self._core.clocks_by_node.pop(node, None)
+        self._peers.link_up(node, link.incarnation, link.zone, now_s())
+        extra = {"node": node, "zone": link.zone, "incarnation": link.incarnation}
+        logger.info("members: node linked", extra=extra)
+
+    @handler("link_down", channel="*")
+    def _on_link_down(self, link, reason):
+        self._links.exit_links.discard(link)
+        if not link.is_entry:
+            return
+        for node, dialled in list(self._dialled_by_node.items()):
+            if dialled is link:
+                del self._dialled_by_node[node]
+                self._lose(node, link, reason)
+
+    def _lose(self, node: str, link, reason: str) -> None:
+        self._peers.link_down(node, now_s())
+        if self._links.entry_links_by_node.get(node) is not link:
+            return
+        del self._links.entry_links_by_node[node]
+        self._chooser.lose_node(node)
+        extra = {"node": node, "reason": reason}
+        logger.warning("members: node lost", extra=extra)
+        self.fire(events.node_lost(node), "entry", "limits")
+
+    @handler("received")
+    def _on_received(self, link, message):
+        now = now_s()
+        node = link.node
+        self._core.clocks_by_node[node] = message.clock_s
+        if node != self._me.node:
+            self._peers.heard(node, message.clock_s, now)
+            ask = self._keeper.take_peer_offset(
+                node, message.offset, message.head_age_s, now
+            )
+            if ask is not None:
+                self.fire(events.ask_peer(ask), "catalogue")
+        self._chooser.update_node(node, link.zone, message.targets)
+
+    @handler("report_now")
+    def _on_report_now(self):
+        self._beat(list(self._links.exit_links), now_s())
+
+    @handler("stop_node", channel="*")
+    def _on_stop_node(self):
+        self._leaving = True
+
+    @handler("tick", channel="*")
+    def _on_tick(self, now):
+        for change in self.registry.expire(now):
+            self._pass_on(change)
+        if now >= self._next_heartbeat_s:
+            self._next_heartbeat_s = now + self._heartbeat_s
+            self._beat(list(self._links.exit_links), now)
+        self._peers.update(self._keeper.fold.nodes_by_id, now)
+        for message in list(self._peers.tick(now)):
+            if isinstance(message, Dial):
+                link = self._hub.dial(parse_address(message.node))
+                self._dialled_by_node[message.node] = link
+            else:
+                self._forget(message.node, message.incarnation)
+        self._check_links(now)
+        self._check_own_record(now)
+
+    def _beat(self, links: list, now: float) -> None:
+        """Send a heartbeat."""
+        heartbeat = Heartbeat(
+            clock_s=now,
+            offset=self._keeper.fold.offset,
+            head_age_s=self._keeper.head_age_s(now),
+            targets=self._reports(),
+        )
+        for link in links:
+            link.send(heartbeat)
+
+    def _check_links(self, now: float) -> None:
+        for node in self._peers.peers_by_id:
+            self._chooser.mark_reachable(node, self._peers.is_alive(node, now))
+        for peer in list(self._peers.silent_links(now)):
+            link = self._dialled_by_node.get(peer.node)
+            if link is not None:
+                self._hub.lose(link.stream, "silent")
+
+    def _check_own_record(self, now: float) -> None:
+        """Announce this node, again if it was struck off."""
+        if self._leaving or now < self._next_join_s or not self._keeper.has_state:
+            return
+        known = self._keeper.fold.nodes_by_id.get(self._me.node)
+        if known != self._me:
+            self._next_join_s = now + REJOIN_INTERVAL_S
+            self.fire(append(node_join(new_change_id(), self._me)), "log")
+
+    def _forget(self, node: str, incarnation: str) -> None:
+        extra = {"node": node, "incarnation": incarnation}
+        logger.warning("members: node struck off", extra=extra)
+        record = node_leave_record(new_change_id(), node, incarnation)
+        self.fire(append(record), "log")
--- /dev/null
+++ b/src/heatherspur/ops/metrics.py
@@ -0,0 +1,116 @@
+"""Metrics of a node, for the operators' listener."""
+
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
+
+__all__ = ["NodeMetrics"]
+
+SECONDS_BUCKETS = (0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10)
+MAX_OPEN_TIMES = 100_000
+
+
+class NodeMetrics:
+    """All metrics of one node."""
+
+    def __init__(self) -> None:
+        self.registry = Registry()
+        self._started_by_exchange: dict[int, float] = {}
+        self.requests = self._counter(
+            "heatherspur_requests_total",
+            "Requests by service, customer, outcome and reason.",
+        )
+        self.retries = self._counter(
+            "heatherspur_retries_total", "Attempts after the first, by service."
+        )
+        self.ejections = self._counter(
+            "heatherspur_target_transitions_total",
+            "Changes of a target's state, by target and new state.",
+        )
+        self.failures = self._counter(
+            "heatherspur_target_failures_total",
+            "Requests handed to a target without a whole answer, by service.",
+        )
+        self.request_seconds = self._histogram(
+            "heatherspur_request_seconds",
+            "Time from a request's head to the end of its answer, by customer.",
+        )
+        self.service_seconds = self._histogram(
+            "heatherspur_target_service_seconds",
+            "Time from hand-over to the head of the answer, by service.",
+        )
+        self.gauges = Gauge(
+            "heatherspur_node_state",
+            "Counts of this node, by kind.",
+            registry=self.registry,
+        )
+
+    def _counter(self, name: str, doc: str) -> Counter:
+        return Counter(name, doc, registry=self.registry)
+
+    def _histogram(self, name: str, doc: str) -> Histogram:
+        return Histogram(name, doc, registry=self.registry, buckets=SECONDS_BUCKETS)
+
+    def open_at(self, exchange: int, now: float) -> None:
+        """Note when an exchange began.
+
+        :param exchange: Id of the exchange.
+        :param now: Clock reading in seconds.
+        """
+        if len(self._started_by_exchange) < MAX_OPEN_TIMES:
+            self._started_by_exchange[exchange] = now
+
+    def count_outcome(
+        self, service: str, customer: str, outcome: str, reason: str
+    ) -> None:
+        """Count a request by its outcome."""
+        labels = {
+            "service": service,
+            "customer": customer,
+            "outcome": outcome,
+            "reason": reason,
+        }
+        self.requests.inc(labels)
+
+    def note_decision(self, decision, now: float) -> None:
+        """Count what the entry decided.
+
+        :param decision: A :class:`~heatherspur.exchange.Decision`.
+        :param now: Clock reading in seconds.
+        """
+        if decision.action == "sent to target":
+            if decision.reason != "attempt-1":
+                self.retries.inc({"service": decision.service})
+            return
+        if decision.action not in ("answered", "not run", "outcome unknown"):
+            if decision.action == "cancelled":
+                self._started_by_exchange.pop(decision.exchange, None)
+            return
+        outcome = decision.action.replace("outcome ", "").replace(" ", "-")
+        customer = decision.customer
+        self.count_outcome(decision.service, customer, outcome, decision.reason)
+        started_s = self._started_by_exchange.pop(decision.exchange, None)
+        if started_s is not None:
+            labels = {"service": decision.service, "customer": customer}
+            self.request_seconds.observe(labels, now - started_s)
+
+    def note_state(self, change) -> None:
+        """Count a change of a target's state.
+
+        :param change: A :class:`~heatherspur.routing.StateChanged`.
+        """
+        self.ejections.inc({"target": change.target, "state": change.new})
+
+    def note_service(self, service: str, service_ms: float, failed: bool) -> None:
+        """Count a request that ended at a target."""
+        self.service_seconds.observe({"service": service}, service_ms / 1000)
+        if failed:
+            self.failures.inc({"service": service})
+
+    def render(self, counts: dict[str, float]) -> tuple[bytes, str]:
+        """Return all metrics as text and their content type.
+
+        :param counts: Counts of the node, by kind.
+        """
+        for kind, value in counts.items():
+            self.gauges.set({"kind": kind}, value)
+        body, fields = render(self.registry, [])
+        return body, fields["Content-Type"]
--- /dev/null
+++ b/tests/demo.py
@@ -0,0 +1,54 @@
+"""Runs the main job on the stand-ins: a log, three nodes, targets and a caller."""
+
+import json
+import tempfile
+from pathlib import Path
+
+import httpx
+
+from tests.standins.fleet import Fleet
+
+
+def _show(title: str, response: httpx.Response) -> None:
+    outcome = response.headers.get("heatherspur-outcome", "")
+    print(
+        f"{title}: {response.status_code}, outcome {outcome}: {response.text.strip()}"
+    )
+
+
+def _requests(fleet: Fleet, client: httpx.Client, key: str) -> None:
+    near, other = (f"http://{node.callers}" for node in fleet.nodes[:2])
+    fields = {"heatherspur-key": key}
+    _show("GET at zone a", client.get(f"{near}/permits/trail-7", headers=fields))
+    _show("GET at zone b", client.get(f"{other}/permits/trail-7", headers=fields))
+    _show("POST", client.post(f"{near}/permits", headers=fields, content=b"permit"))
+    _show("open route, no key", client.get(f"{near}/news/today"))
+    _show("keyed route, no key", client.get(f"{near}/permits/trail-7"))
+    forbidden = {"heatherspur-key": "hsk_not-granted-to-anybody"}
+    _show("forbidden key", client.get(f"{near}/permits/trail-7", headers=forbidden))
+    withdrawn = fleet.command("key", "withdraw", key)
+    confirmed = json.loads(withdrawn.stdout)["in_force"]
+    print(f"key withdrawn, in force on {len(confirmed)} nodes")
+    _show("withdrawn key", client.get(f"{near}/permits/trail-7", headers=fields))
+
+
+def main() -> None:
+    folder = Path(tempfile.mkdtemp(prefix="heatherspur-demo-"))
+    with Fleet(folder, zones=("a", "b", "c")) as fleet:
+        print("starting the log, three nodes and three targets ...")
+        fleet.start_nodes_with_targets()
+        fleet.apply()
+        fleet.wait_ready(n_targets=3)
+        print("catalogue applied: service permits, customers guides and inn")
+        key = fleet.grant("guides")
+        with httpx.Client() as client:
+            _requests(fleet, client, key)
+            metrics = client.get(f"http://{fleet.nodes[0].ops}/metrics").text
+        n_series = sum(not line.startswith("#") for line in metrics.splitlines())
+        print(f"metrics: http://{fleet.nodes[0].ops}/metrics had {n_series} series")
+        print(f"logs: {folder}/node-*.log, one JSON object a line")
+    print("all processes ended")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the systems that heatherspur meets."""
--- /dev/null
+++ b/tests/standins/fleet.py
@@ -0,0 +1,219 @@
+"""Starts a small fleet as separate processes on loopback and ends it."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+import urllib.request
+from pathlib import Path
+from typing import NamedTuple
+
+SECRET = "secret-of-the-test-fleet"
+CATALOGUE = """
+[[service]]
+id = "permits"
+owner = "Gerês association"
+floor = 0.5
+timeout_ms = 5000
+routes = [{ prefix = "/permits" }, { prefix = "/news", open = true },
+  { prefix = "/big" }]
+
+[[customer]]
+id = "guides"
+owner = "Trekking guides"
+rate = 1000
+burst = 1000
+
+[[customer]]
+id = "inn"
+owner = "Guesthouse"
+rate = 2
+burst = 3
+"""
+
+
+class NodeAddresses(NamedTuple):
+    zone: str
+    callers: str
+    link: str
+    ops: str
+
+
+def free_port() -> int:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+def free_address() -> str:
+    return f"127.0.0.1:{free_port()}"
+
+
+def wait_until(condition, timeout_s: float = 20.0, step_s: float = 0.05):
+    """Wait for a condition; its value is returned."""
+    until = time.monotonic() + timeout_s
+    while True:
+        value = condition()
+        if value:
+            return value
+        if time.monotonic() >= until:
+            raise TimeoutError(f"not met within {timeout_s} s")
+        time.sleep(step_s)
+
+
+def put_json(address: str, path: str, value) -> None:
+    data = json.dumps(value).encode()
+    request = urllib.request.Request(f"http://{address}{path}", data=data, method="PUT")
+    with urllib.request.urlopen(request, timeout=5):
+        pass
+
+
+def get_json(address: str, path: str):
+    with urllib.request.urlopen(f"http://{address}{path}", timeout=5) as answer:
+        return json.load(answer)
+
+
+class Fleet:
+    """Processes of one test; use as a context manager."""
+
+    def __init__(self, folder: Path, zones=("a", "b"), extra_flags=()):
+        self.folder = folder
+        self.zones = zones
+        self.extra_flags = extra_flags
+        self.processes: dict[str, subprocess.Popen] = {}
+        self.log = ""
+        self.nodes: list[NodeAddresses] = []
+        self.targets_by_name: dict[str, str] = {}
+        self.environment = {
+            **os.environ,
+            "HEATHERSPUR_FLEET_SECRET": SECRET,
+            "PYTHONPATH": str(Path(__file__).parents[2]),
+        }
+
+    def __enter__(self):
+        self.log = f"127.0.0.1:{self._start_standin('platform_log')}"
+        self.environment["HEATHERSPUR_LOG"] = self.log
+        return self
+
+    def __exit__(self, *_):
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self.processes.values():
+            process.wait()
+            if process.stdout:
+                process.stdout.close()
+
+    def _start_standin(self, module: str, *flags: str, name: str = "") -> int:
+        command = [sys.executable, "-m", f"tests.standins.{module}", *flags]
+        process = subprocess.Popen(
+            command, stdout=subprocess.PIPE, env=self.environment, text=True
+        )
+        self.processes[name or module] = process
+        return json.loads(process.stdout.readline())["port"]
+
+    def start_node(self, zone: str, addresses: NodeAddresses | None = None, *flags):
+        node = addresses or NodeAddresses(
+            zone, free_address(), free_address(), free_address()
+        )
+        program = Path(sys.executable).parent / "heatherspur"
+        command = [
+            str(program),
+            "node",
+            f"--zone={zone}",
+            f"--callers={node.callers}",
+            f"--link={node.link}",
+            f"--ops={node.ops}",
+            *self.extra_flags,
+            *flags,
+        ]
+        path = self.folder / f"node-{node.link.rpartition(':')[2]}.log"
+        with path.open("a") as output:
+            process = subprocess.Popen(command, stderr=output, env=self.environment)
+        self.processes[node.link] = process
+        if node not in self.nodes:
+            self.nodes.append(node)
+        return node
+
+    def start_target(self, name: str, service: str, node: NodeAddresses, *flags):
+        port = self._start_standin(
+            "target",
+            f"--name={name}",
+            f"--service={service}",
+            f"--ops={node.ops}",
+            *flags,
+            name=name,
+        )
+        self.targets_by_name[name] = f"127.0.0.1:{port}"
+
+    def start_nodes_with_targets(self, service="permits", *flags) -> None:
+        for zone in self.zones:
+            node = self.start_node(zone)
+            self.wait_for(node, lambda status: True)
+            self.start_target(f"target-{len(self.nodes)}", service, node, *flags)
+
+    def status(self, node: NodeAddresses):
+        try:
+            return get_json(node.ops, "/status")
+        except OSError:
+            return None
+
+    def wait_for(self, node: NodeAddresses, condition, timeout_s: float = 20.0):
+        def check():
+            status = self.status(node)
+            return status if status and condition(status) else None
+
+        return wait_until(check, timeout_s)
+
+    def wait_ready(self, n_targets: int) -> None:
+        """Wait until every node lends or borrows and sees the targets."""
+        for node in self.nodes:
+            self.wait_for(
+                node,
+                lambda status: (
+                    status["limits"]["epoch"] > 0
+                    and len(status["nodes"]) == len(self.nodes) - 1
+                    and sum(t["reachable"] for t in status["targets"]) >= n_targets
+                ),
+            )
+        shares = 0
+        for node in self.nodes:
+            shares += len(self.status(node)["limits"]["shares"])
+        wait_until(
+            lambda: (
+                sum(len(self.status(n)["limits"]["lending"]) for n in self.nodes)
+                >= max(1, shares)
+            )
+        )
+
+    def command(self, *words: str, check: bool = True):
+        """Run an operator's command and return what it prints."""
+        program = Path(sys.executable).parent / "heatherspur"
+        result = subprocess.run(
+            [str(program), *words],
+            env=self.environment,
+            capture_output=True,
+            text=True,
+            timeout=60,
+        )
+        if check and result.returncode != 0:
+            raise AssertionError(f"{words}: {result.returncode}: {result.stderr}")
+        return result
+
+    def apply(self, text: str = CATALOGUE) -> None:
+        path = self.folder / "catalogue.toml"
+        path.write_text(text)
+        self.command("catalogue", "apply", str(path))
+
+    def grant(self, customer: str) -> str:
+        return json.loads(self.command("key", "grant", customer).stdout)["key"]
+
+    def control(self, target: str, **values) -> None:
+        put_json(self.targets_by_name[target], "/control", values)
+
+    def seen(self, target: str):
+        return get_json(self.targets_by_name[target], "/seen")
--- /dev/null
+++ b/tests/standins/platform_log.py
@@ -0,0 +1,109 @@
+"""Stand-in for the platform's append-only log service.
+
+``PUT /faults`` takes ``{"down": true, "delay_s": 0.1, "lose_replies": 2,
+"retention": 100}``: an outage, a delay, a number of appends whose reply is lost
+after they took effect, and the number of records that are kept.
+"""
+
+import argparse
+import asyncio
+import contextlib
+import json
+from urllib.parse import parse_qs, urlsplit
+
+from tests.standins.http_server import Request, Response, json_response, serve
+
+MAX_RECORDS_A_READ = 500
+
+
+class Stream:
+    def __init__(self):
+        self.records: list[str] = []
+        self.oldest = 0
+        self.grown = asyncio.Event()
+
+    @property
+    def head(self) -> int:
+        return self.oldest + len(self.records)
+
+    def append(self, value: str) -> int:
+        self.records.append(value)
+        self.grown.set()
+        self.grown = asyncio.Event()
+        return self.head - 1
+
+    def expire(self, retention: int) -> None:
+        surplus = max(0, len(self.records) - retention)
+        del self.records[:surplus]
+        self.oldest += surplus
+
+
+class PlatformLog:
+    def __init__(self):
+        self.streams_by_name: dict[str, Stream] = {}
+        self.down = False
+        self.delay_s = 0.0
+        self.lose_replies = 0
+        self.retention = 1_000_000
+        self.n_requests = 0
+        self.n_appends = 0
+
+    async def handle(self, request: Request) -> Response | None:
+        if request.path == "/faults":
+            for name, value in json.loads(request.body).items():
+                setattr(self, name, value)
+            return json_response({"ok": True})
+        if request.path == "/counts":
+            counts = {"requests": self.n_requests, "appends": self.n_appends}
+            return json_response(counts)
+        if self.down:
+            return None
+        self.n_requests += 1
+        if self.delay_s:
+            await asyncio.sleep(self.delay_s)
+        parts = urlsplit(request.path)
+        stream = self.streams_by_name.setdefault(parts.path.split("/")[2], Stream())
+        if request.method == "POST":
+            return self._append(stream, request.body.decode())
+        return await self._read(stream, parse_qs(parts.query))
+
+    def _append(self, stream: Stream, value: str) -> Response | None:
+        offset = stream.append(value)
+        self.n_appends += 1
+        stream.expire(self.retention)
+        if self.lose_replies > 0:
+            self.lose_replies -= 1
+            return None
+        return json_response({"offset": offset})
+
+    async def _read(self, stream: Stream, query: dict) -> Response | None:
+        start = int(query["from"][0])
+        if start < stream.oldest:
+            return json_response({"oldest": stream.oldest}, 410)
+        wait_s = int(query["wait_ms"][0]) / 1000
+        if start >= stream.head and wait_s:
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(stream.grown.wait(), wait_s)
+        if self.down:
+            return None
+        first = start - stream.oldest
+        values = stream.records[first : first + MAX_RECORDS_A_READ]
+        records = [
+            {"offset": start + i, "value": value} for i, value in enumerate(values)
+        ]
+        answer = {"oldest": stream.oldest, "head": stream.head, "records": records}
+        return json_response(answer)
+
+
+async def main(host: str, port: int) -> None:
+    server = await serve(PlatformLog().handle, host, port)
+    print(json.dumps({"port": server.sockets[0].getsockname()[1]}), flush=True)
+    await server.serve_forever()
+
+
+if __name__ == "__main__":
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--host", default="127.0.0.1")
+    parser.add_argument("--port", type=int, default=0)
+    arguments = parser.parse_args()
+    asyncio.run(main(arguments.host, arguments.port))
