Notice one-way cuts, learn the catalogue from peers, record and replay cores

Cause: with one way of a link cut, an entry went on sending to an exit that it could hear (the caller got outcome unknown); a node that started while the log was away stayed without a state although a peer had passed every record on. Ruled out: the retry of idempotent requests, which was right once the link was closed. Change: entries ping exits and heartbeats echo the ping, so both ways must be heard; a node that reached a peer's offset has a state; cores can be recorded and replayed.

--- a/src/heatherspur/catalogue/keeper.py
+++ b/src/heatherspur/catalogue/keeper.py
@@ -150,6 +150,7 @@
             self._asked_at_s = now
             return AskPeer(node, self.fold.offset)
         if offset == self.fold.offset:
+            self.has_state = self.has_state or offset > 0
             seen_at_s = now - head_age_s
             self.head_seen_at_s = max(self.head_seen_at_s or 0.0, seen_at_s)
             self._behind_since_s = None
--- a/src/heatherspur/cli/main.py
+++ b/src/heatherspur/cli/main.py
@@ -6,6 +6,7 @@
 import os
 import sys
 from collections.abc import Callable
+from pathlib import Path
 from typing import Any
 
 import fire
@@ -42,6 +43,7 @@
 from heatherspur.core import read_settings
 from heatherspur.node import NODE_SETTINGS, NodeApp, read_node_settings
 from heatherspur.ops import configure_logs
+from heatherspur.replay import TraceError, replay_trace
 
 __all__ = ["Heatherspur", "run"]
 
@@ -231,6 +233,19 @@
         if None in answers.values():
             sys.exit(EXIT_FAILED)
 
+    def replay(self, trace: str) -> None:
+        """Replay a recorded TRACE and check the outcomes that it states."""
+        try:
+            lines = Path(trace).read_text("utf-8").splitlines()
+            report = replay_trace(lines)
+        except OSError as error:
+            _unwrap_usage(f"{trace}: {error.strerror}")
+        except TraceError as error:
+            _unwrap_usage(str(error))
+        _show(report._asdict())
+        if not report.passed:
+            sys.exit(EXIT_FAILED)
+
     def settings(self) -> None:
         """List the settings of a node: flag, variable, default, what is expected."""
         for setting in NODE_SETTINGS:
--- a/src/heatherspur/exchange/tests/model.py
+++ b/src/heatherspur/exchange/tests/model.py
@@ -223,7 +223,9 @@
         link = self.links[exit_.node]["in"]
         if self.now >= exit_.next_beat_s:
             exit_.next_beat_s = self.now + HEARTBEAT_S
-            link.append(m.Heartbeat(self.now, 0, 0.0, (report(f"t-{exit_.node}"),)))
+            link.append(
+                m.Heartbeat(self.now, 0.0, 0, 0.0, (report(f"t-{exit_.node}"),))
+            )
         self._exit_messages(exit_, exit_.gate.tick(self.now))
         for done in [r for r in exit_.running if r[0] <= self.now]:
             exit_.running.remove(done)
--- a/src/heatherspur/link/hub.py
+++ b/src/heatherspur/link/hub.py
@@ -25,6 +25,7 @@
 
 CHANNEL_BY_TYPE: dict[type, str] = {
     m.Heartbeat: "members",
+    m.Ping: "members",
     m.RequestHead: "exit",
     m.RequestBody: "exit",
     m.RequestEnd: "exit",
@@ -112,6 +113,7 @@
         self.handshake = handshake
         self.is_entry = is_entry
         self.opened_at_s = now_s()
+        self.ping_s = 0.0
         self._pending: list[m.Message] = []
 
     @property
@@ -183,6 +185,7 @@
         self.zone = zone
         self.is_entry = is_entry
         self.other: LocalLink | None = None
+        self.ping_s = 0.0
         self._pending: list[m.Message] = []
 
     def send(self, message: m.Message) -> None:
--- a/src/heatherspur/link/messages.py
+++ b/src/heatherspur/link/messages.py
@@ -17,6 +17,7 @@
     "Message",
     "PermitAnswer",
     "PermitAsk",
+    "Ping",
     "Proof",
     "RecordItem",
     "Records",
@@ -93,10 +94,21 @@
     n_total: int
 
 
+class Ping(NamedTuple):
+    """Sent by the entry side at a fixed interval; the next heartbeat echoes it.
+
+    :param clock_s: The entry's own clock, in seconds.
+    """
+
+    clock_s: float
+
+
 class Heartbeat(NamedTuple):
     """Sent by the exit side at a fixed interval.
 
     :param clock_s: The exit's own clock, in seconds.
+    :param echo_s: Newest clock reading that came in a :class:`Ping` over this link;
+        0 if none came.
     :param offset: Log offset up to which the exit applied records.
     :param head_age_s: Age of the exit's newest word from the log, in seconds,
         its own or heard from a peer.
@@ -104,6 +116,7 @@
     """
 
     clock_s: float
+    echo_s: float
     offset: int
     head_age_s: float
     targets: tuple[TargetReport, ...]
@@ -376,6 +389,7 @@
 Message = (
     Hello
     | Proof
+    | Ping
     | Heartbeat
     | RequestHead
     | RequestBody
@@ -403,6 +417,7 @@
     Hello: 1,
     Proof: 2,
     Heartbeat: 3,
+    Ping: 4,
     RequestHead: 10,
     RequestBody: 11,
     RequestEnd: 12,
--- a/src/heatherspur/membership/peers.py
+++ b/src/heatherspur/membership/peers.py
@@ -47,6 +47,7 @@
         self.linked = False
         self.dialling = False
         self.heard_at_s = now
+        self.echo_s = now
         self.linked_at_s = now
         self.next_dial_at_s = 0.0
         self.backoff_s = MIN_BACKOFF_S
@@ -100,7 +101,7 @@
         peer = self.peers_by_id.setdefault(node, Peer(node, now))
         peer.linked, peer.dialling = True, False
         peer.incarnation, peer.zone = incarnation, zone
-        peer.heard_at_s = peer.linked_at_s = now
+        peer.heard_at_s = peer.linked_at_s = peer.echo_s = now
         peer.clock_s = 0.0
         peer.backoff_s = MIN_BACKOFF_S
 
@@ -117,20 +118,24 @@
         peer.next_dial_at_s = now + peer.backoff_s
         peer.backoff_s = min(MAX_BACKOFF_S, 2 * peer.backoff_s)
 
-    def heard(self, node: str, clock_s: float, now: float) -> None:
+    def heard(self, node: str, clock_s: float, echo_s: float, now: float) -> None:
         """Note a heartbeat.
 
         :param node: Node id.
         :param clock_s: Clock reading of the sender.
+        :param echo_s: Own clock reading that the sender has heard last.
         :param now: Clock reading in seconds.
         """
         peer = self.peers_by_id.get(node)
         if peer is not None:
             peer.heard_at_s = now
             peer.clock_s = max(peer.clock_s, clock_s)
+            peer.echo_s = max(peer.echo_s, echo_s)
 
     def is_alive(self, node: str, now: float) -> bool:
-        """Tell whether an exit was heard lately over an open link.
+        """Tell whether an exit was heard lately, and heard this node lately.
+
+        A cut may be one-way: an exit whose heartbeats arrive may hear nothing.
 
         :param node: Node id.
         :param now: Clock reading in seconds.
@@ -138,7 +143,11 @@
         peer = self.peers_by_id.get(node)
         if peer is None or not peer.linked or not peer.clock_s:
             return False
-        return now - peer.heard_at_s <= self._settings.silence_s
+        return self._silent_s(peer, now) <= self._settings.silence_s
+
+    def _silent_s(self, peer: Peer, now: float) -> float:
+        """Return for how long one of the two ways has brought nothing."""
+        return now - min(peer.heard_at_s, peer.echo_s)
 
     def alive(self, now: float) -> Iterator[Peer]:
         """Yield the peers that were heard lately.
@@ -150,12 +159,13 @@
                 yield peer
 
     def silent_links(self, now: float) -> Iterator[Peer]:
-        """Yield peers whose open link brought nothing for twice the silence time.
+        """Yield peers whose link was silent one way for twice the silence time.
 
         :param now: Clock reading in seconds.
         """
         for peer in self.peers_by_id.values():
-            if peer.linked and now - peer.heard_at_s > 2 * self._settings.silence_s:
+            limit_s = 2 * self._settings.silence_s
+            if peer.linked and self._silent_s(peer, now) > limit_s:
                 yield peer
 
     def tick(self, now: float) -> Iterator[Dial | Forget]:
--- a/src/heatherspur/node/app.py
+++ b/src/heatherspur/node/app.py
@@ -27,6 +27,7 @@
 from heatherspur.node.members import MembersTask
 from heatherspur.ops import NodeMetrics, OpsServer
 from heatherspur.platform import LogHub, append
+from heatherspur.replay import TraceWriter, record
 from heatherspur.routing import Chooser, RetryBudget
 
 __all__ = ["NodeApp"]
@@ -80,7 +81,10 @@
         budget = RetryBudget(routing.retry_percent, now)
         self._core = EntryCore(self._chooser, budget, routing.max_attempts)
         max_age_s = settings.exchange.max_request_age_s
-        self._gate = ExitGate(self._me.incarnation, max_age_s)
+        arguments = (self._me.incarnation, max_age_s)
+        self._trace = TraceWriter(settings.trace) if settings.trace else None
+        name = f"gate:{self._me.node}"
+        self._gate = record(ExitGate(*arguments), name, arguments, self._trace)
         self._peers = PeerTable(self._me.node, settings.membership)
 
     def _build_tasks(self) -> None:
@@ -104,6 +108,7 @@
             links,
             settings.routing,
             self.metrics,
+            self._trace,
         ).register(self)
         self._members = MembersTask(
             me,
--- a/src/heatherspur/node/ejection.py
+++ b/src/heatherspur/node/ejection.py
@@ -13,6 +13,7 @@
 from heatherspur.node import events
 from heatherspur.node.directory import LinkDirectory
 from heatherspur.ops import NodeMetrics
+from heatherspur.replay import TraceWriter, record
 from heatherspur.routing import (
     AskPermit,
     Chooser,
@@ -38,6 +39,7 @@
     :param links: Links to other nodes.
     :param settings: Routing settings.
     :param metrics: Metrics of the node.
+    :param trace: Records what the ejectors take and give, or ``None``.
     """
 
     channel = "ejection"
@@ -51,6 +53,7 @@
         links: LinkDirectory,
         settings: RoutingSettings,
         metrics: NodeMetrics,
+        trace: TraceWriter | None,
     ) -> None:
         super().__init__()
         self._keeper = keeper
@@ -60,6 +63,7 @@
         self._links = links
         self._settings = settings
         self._metrics = metrics
+        self._trace = trace
         self._permits = PermitLedger(settings.permit_lapse_s)
         self._announcements_by_target: dict[str, Announcement] = {}
         self.ejectors_by_target: dict[str, TargetEjector] = {}
@@ -111,13 +115,15 @@
     def _new_ejector(self, announced: Announcement) -> TargetEjector:
         service = self._keeper.fold.services_by_id.get(announced.service)
         service_class = service.service_class if service else "steady"
-        return TargetEjector(
+        arguments = (
             announced.service,
             announced.target,
             service_class,
             self._settings,
             now_s(),
         )
+        name = f"ejector:{announced.target}"
+        return record(TargetEjector(*arguments), name, arguments, self._trace)
 
     @handler("target_sample")
     def _on_target_sample(self, target, service_ms, failed):
@@ -170,7 +176,7 @@
     def _on_tick(self, now):
         for target, ejector in self.ejectors_by_target.items():
             announced = self._announcements_by_target[target]
-            ejector.detector.update_peers(self._samples(announced))
+            ejector.update_peers(tuple(self._samples(announced)))
             gate = self._gate.gates_by_target.get(target)
             running = gate.running.values() if gate else ()
             ages_ms = tuple((now - started_s) * 1000 for _, started_s in running)
--- a/src/heatherspur/node/members.py
+++ b/src/heatherspur/node/members.py
@@ -133,12 +133,15 @@
         for message in messages:
             self._receive(link, message)
 
-    def _receive(self, link, message: m.Heartbeat) -> None:
+    def _receive(self, link, message: m.Heartbeat | m.Ping) -> None:
+        if isinstance(message, m.Ping):
+            link.ping_s = message.clock_s
+            return
         now = now_s()
         node = link.node
         self._core.clocks_by_node[node] = message.clock_s
         if node != self._me.node:
-            self._peers.heard(node, message.clock_s, now)
+            self._peers.heard(node, message.clock_s, message.echo_s, now)
             ask = self._keeper.take_peer_offset(
                 node, message.offset, message.head_age_s, now
             )
@@ -161,6 +164,7 @@
         if now >= self._next_heartbeat_s:
             self._next_heartbeat_s = now + self._heartbeat_s
             self._beat(list(self._links.exit_links), now)
+            self._ping(now)
         self._peers.update(self._keeper.fold.nodes_by_id, now)
         for message in list(self._peers.tick(now)):
             if isinstance(message, Dial):
@@ -173,15 +177,22 @@
 
     def _beat(self, links: list, now: float) -> None:
         """Send a heartbeat."""
-        heartbeat = m.Heartbeat(
-            clock_s=now,
-            offset=self._keeper.fold.offset,
-            head_age_s=self._keeper.head_age_s(now),
-            targets=self._reports(),
-        )
+        reports = self._reports()
         for link in links:
+            heartbeat = m.Heartbeat(
+                clock_s=now,
+                echo_s=link.ping_s,
+                offset=self._keeper.fold.offset,
+                head_age_s=self._keeper.head_age_s(now),
+                targets=reports,
+            )
             link.send(heartbeat)
 
+    def _ping(self, now: float) -> None:
+        """Ask the exits to show that they hear this node."""
+        for link in self._links.entry_links_by_node.values():
+            link.send(m.Ping(now))
+
     def _check_links(self, now: float) -> None:
         for node in self._peers.peers_by_id:
             self._chooser.mark_reachable(node, self._peers.is_alive(node, now))
--- a/src/heatherspur/routing/ejection.py
+++ b/src/heatherspur/routing/ejection.py
@@ -4,12 +4,12 @@
 target gets. The target is out only while a permit is in force.
 """
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from typing import NamedTuple
 
 from heatherspur.core import load_chart
 from heatherspur.routing.conf import RoutingSettings
-from heatherspur.routing.detector import OutlierDetector
+from heatherspur.routing.detector import OutlierDetector, PeerSample
 
 __all__ = ["AskPermit", "StateChanged", "TargetEjector"]
 
@@ -80,6 +80,13 @@
         self._backoff_factor = 1
         self._n_good_probes = 0
 
+    def update_peers(self, samples: Iterable[PeerSample]) -> None:
+        """Take the newest figures of the service's other targets in use.
+
+        :param samples: One sample a target.
+        """
+        self.detector.update_peers(samples)
+
     def note(self, service_ms: float, failed: bool, now: float) -> list[NamedTuple]:
         """Take one finished request.
 
--- a/tests/standins/platform_log.py
+++ b/tests/standins/platform_log.py
@@ -56,6 +56,9 @@
         if request.path == "/counts":
             counts = {"requests": self.n_requests, "appends": self.n_appends}
             return json_response(counts)
+        if request.path == "/oldest":
+            streams = self.streams_by_name.values()
+            return json_response({"oldest": max(s.oldest for s in streams)})
         if self.down:
             return None
         self.n_requests += 1
