--- a/src/heatherspur/limits/borrower.py
+++ b/src/heatherspur/limits/borrower.py
@@ -13,7 +13,9 @@
 PREFETCH_S = 0.1
 MIN_PREFETCH_RATE_PER_S = 10.0
 ASK_TIMEOUT_S = 0.15
+MIN_RETRY_S = 0.1
 DEMAND_TIME_CONSTANT_S = 1.0
+AVOID_SILENT_S = 1.0
 RETURN_IDLE_S = 0.3
 RETURN_SHARE = 0.4
 MAX_WAITING = 256
@@ -144,6 +146,7 @@
         self.n_shares = 0
         self._accounts_by_customer: dict[str, Account] = {}
         self._next_loan = 1
+        self._silent_until_by_share: dict[int, float] = {}
         self._settled_at_s = 0.0
 
     @property
@@ -191,7 +194,7 @@
             account.loans.append(loan)
         if message.amount < 1:
             account.refusing_shares.add(message.share)
-            retry_at_s = now + message.wait_ms / 1000
+            retry_at_s = now + max(MIN_RETRY_S, message.wait_ms / 1000)
             account.retry_at_s = min(account.retry_at_s or retry_at_s, retry_at_s)
         yield from self._advance(message.customer, account, now)
         yield from self._settle_used(account)
@@ -263,8 +266,10 @@
         """Return the share to ask: the home share first, then those not asked."""
         order = [(self.home_share + i) % self.n_shares for i in range(self.n_shares)]
         open_shares = [s for s in order if s not in account.refusing_shares]
+        silent = self._silent_until_by_share
+        heard = [s for s in open_shares if silent.get(s, 0.0) <= now]
         if open_shares:
-            return open_shares[0]
+            return (heard or open_shares)[0]
         if now < account.retry_at_s:
             return None
         account.refusing_shares.clear()
@@ -278,6 +283,7 @@
                 del account.question_by_loan[loan]
                 account.refusing_shares.add(question.share)
                 account.silent_shares.add(question.share)
+                self._silent_until_by_share[question.share] = now + AVOID_SILENT_S
                 retry_at_s = now + ASK_TIMEOUT_S
                 account.retry_at_s = max(account.retry_at_s, retry_at_s)
 
--- a/src/heatherspur/limits/fence.py
+++ b/src/heatherspur/limits/fence.py
@@ -15,7 +15,7 @@
 
 __all__ = ["Fence", "Run", "SendVouchAsk"]
 
-ASK_INTERVAL_S = 0.4
+ASK_INTERVAL_S = 0.25
 MAX_OPEN_ROUNDS = 16
 LONG_AGO_S = -1e9  # the first holders of a fleet follow nobody
 
--- a/src/heatherspur/node/exit.py
+++ b/src/heatherspur/node/exit.py
@@ -39,6 +39,7 @@
 CREDIT_STEP_BYTES = 32768
 RETRY_SOON_MS = 200
 DEFAULT_MAX_QUEUE = 64
+STATUS_SERVER_ERROR = 500
 STATUS_UNAVAILABLE = 503
 CANCEL_MARGIN_S = 0.1
 
@@ -68,6 +69,7 @@
         self.window = RESPONSE_WINDOW_BYTES
         self.n_uncredited = 0
         self.is_shed = False
+        self.status = 0
 
 
 class TargetConnection:
@@ -334,6 +336,7 @@
             exchange.is_shed = True
             return
         exchange.head_at_s = now_s()
+        exchange.status = head.status
         gate = self._gate.gates_by_target[exchange.head.target]
         service_ms = (exchange.head_at_s - exchange.handed_over_at_s) * 1000
         exchange.link.send(
@@ -370,7 +373,8 @@
             exchange.link.send(m.ResponseEnd(exchange.key.number))
             service_ms = (exchange.head_at_s - exchange.handed_over_at_s) * 1000
             total_ms = (now - exchange.handed_over_at_s) * 1000
-            self._sample(exchange, service_ms, False)
+            is_error = exchange.status >= STATUS_SERVER_ERROR
+            self._sample(exchange, service_ms, is_error)
             self._run(self._gate.finish(exchange.key, total_ms, now))
         self._put_back(connection, now)
 
--- a/src/heatherspur/routing/chooser.py
+++ b/src/heatherspur/routing/chooser.py
@@ -7,6 +7,7 @@
 import math
 import random
 from collections.abc import Iterable, Iterator
+from statistics import median
 
 from heatherspur.link.messages import TargetReport
 from heatherspur.routing.permits import max_ejected
@@ -17,6 +18,7 @@
 PROBE_INTERVAL_S = 0.2
 STARTING_PENALTY = 2.0
 DEFAULT_SERVICE_MS = 20.0
+NOTABLE_FACTOR = 4.0  # at 2.0 a slow target lost its requests before its verdict
 WAY_WEIGHT = 0.1
 OTHER_ZONE_MS = 4.0
 
@@ -77,11 +79,17 @@
     def cost_ms(self, own_zone: str, usual_ms: float) -> float:
         """Return the expected time of one more request, in milliseconds.
 
+        Small differences in service time count for nothing: they would send all
+        requests to the target that happened to be fastest of late, and leave the
+        others without the requests by which they are judged.
+
         :param own_zone: Zone of this entry.
-        :param usual_ms: Service time to assume where the target showed none.
+        :param usual_ms: Service time that is usual in the service.
         """
         report = self.report
         service_ms = math.exp(report.log_ms_mean) if report.n_total else usual_ms
+        if service_ms < usual_ms * NOTABLE_FACTOR:
+            service_ms = usual_ms
         n_ahead = max(self.n_load, self.n_open)
         rounds = (n_ahead + 1) / max(1, report.slots)
         cost_ms = service_ms * max(1.0, rounds) + service_ms * rounds * 0.1
@@ -102,6 +110,7 @@
         self._zone = zone
         self._rng = rng
         self._views_by_service: dict[str, dict[str, TargetView]] = {}
+        self._usual_ms_by_service: dict[str, float] = {}
 
     def views(self, service: str) -> dict[str, TargetView]:
         """Return the views of a service's targets, by target id."""
@@ -134,6 +143,15 @@
             for target, view in list(views.items()):
                 if view.node == node and (service, target) not in named:
                     del views[target]
+        for service in {service for service, _ in named}:
+            self._update_usual(service)
+
+    def _update_usual(self, service: str) -> None:
+        """Note what service time is usual among a service's targets."""
+        reports = [v.report for v in self._views_by_service[service].values()]
+        logs = [r.log_ms_mean for r in reports if r.n_total]
+        if logs:
+            self._usual_ms_by_service[service] = math.exp(median(logs))
 
     def lose_node(self, node: str) -> None:
         """Forget the targets of an exit that left.
@@ -185,9 +203,8 @@
         ]
         if not usable:
             raise NoTarget(service)
-        sample = list(self._sample(usable))
-        known = [math.exp(v.report.log_ms_mean) for v in sample if v.report.n_total]
-        usual_ms = min(known, default=DEFAULT_SERVICE_MS)
+        usual_ms = self._usual_ms_by_service.get(service, DEFAULT_SERVICE_MS)
+        sample = self._sample(usable)
         return min(sample, key=lambda v: v.cost_ms(self._zone, usual_ms))
 
     def _in_use(self, live: list[TargetView], floor: float) -> list[TargetView]:
--- a/src/heatherspur/routing/detector.py
+++ b/src/heatherspur/routing/detector.py
@@ -9,24 +9,27 @@
 
 import math
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from statistics import fmean, median
 from typing import NamedTuple
 
 __all__ = ["OutlierDetector", "PeerSample", "SuspicionLimits", "suspicion_limits"]
 
-N_RECENT = 16
+N_RECENT = 8
+N_SPREAD = 64
+N_RECENT_BAD = 16
+MIN_SERVICE_MS = 0.1
 MIN_SPREAD = 0.25
 MAX_DEVIATION = 4.0
+MAX_OPEN_DEVIATION = 8.0
 SLACK = 1.0
 MIN_EFFECT = math.log(2.0)
 MIN_DIFFERENCE_MS = 5.0
-VERY_SLOW_FACTOR = 8.0
+VERY_SLOW = math.log(8.0)
 MIN_BAD_RATIO = 0.02
 OUTLIER_BAD_RATIO = 0.3
-MIN_REFERENCE_REQUESTS = 5
-MAX_SPREAD_WEIGHT = 0.1
-BAD_RATIO_WEIGHT = 1 / 64
+LEAST_BAD_RATIO = 0.15
+MIN_REFERENCE_REQUESTS = 8
 
 
 class SuspicionLimits(NamedTuple):
@@ -41,8 +44,8 @@
 
 
 LIMITS_BY_CLASS = {
-    "steady": SuspicionLimits(slow=12.0, bad=11.0),
-    "swift": SuspicionLimits(slow=8.0, bad=8.0),
+    "steady": SuspicionLimits(slow=14.0, bad=11.0),
+    "swift": SuspicionLimits(slow=12.0, bad=8.0),
 }
 
 
@@ -83,33 +86,47 @@
     spread: float
     bad_ratio: float
 
+    def surprise(self, value: float, limit: float = MAX_DEVIATION) -> float:
+        """Return by how much one service time moves the sum.
+
+        :param value: Logarithm of the service time in milliseconds.
+        :param limit: Greatest deviation that counts, in spreads.
+        """
+        deviation = (value - self.mean) / max(self.spread, MIN_SPREAD)
+        return min(deviation, limit) - SLACK
+
 
 class OutlierDetector:
     """Evidence about one target.
 
+    Evidence that passes its limit is confirmed before it counts: the other targets
+    must finish some requests more, and the target must still stand apart from them.
+    Their older figures would not show that the whole service has changed.
+
     :param service_class: Class of the service.
     """
 
     def __init__(self, service_class: str) -> None:
         self._limits = suspicion_limits(service_class)
-        self._logs: deque[float] = deque(maxlen=N_RECENT)
-        self._bad_ratio = 0.0
+        self._logs: deque[float] = deque(maxlen=N_SPREAD)
+        self._bads: deque[bool] = deque(maxlen=N_RECENT_BAD)
         self._slow_sum = 0.0
         self._bad_sum = 0.0
-        self._n_since_rise = 0
         self.n_total = 0
         self._peers_by_target: dict[str, PeerSample] = {}
         self._marks_by_target: dict[str, int] = {}
-        self._suspected = False
 
     @property
     def own_sample(self) -> tuple[float, float, float]:
         """Mean and spread of the logarithm of service times, and bad ratio."""
+        bad_ratio = fmean(self._bads) if self._bads else 0.0
         if not self._logs:
-            return 0.0, 0.0, self._bad_ratio
-        mean = fmean(self._logs)
-        variance = fmean((value - mean) ** 2 for value in self._logs)
-        return mean, math.sqrt(variance), self._bad_ratio
+            return 0.0, 0.0, bad_ratio
+        return fmean(self._recent), _deviation(self._logs), bad_ratio
+
+    @property
+    def _recent(self) -> list[float]:
+        return list(self._logs)[-N_RECENT:]
 
     def update_peers(self, samples: Iterable[PeerSample]) -> None:
         """Take the newest figures of the service's other targets in use.
@@ -118,121 +135,104 @@
         """
         self._peers_by_target = {sample.target: sample for sample in samples}
 
+    def observe(self, service_ms: float) -> None:
+        """Take one answered request of a target that is not judged yet.
+
+        :param service_ms: Time from hand-over to the answer's head.
+        """
+        self.n_total += 1
+        self._logs.append(_log_ms(service_ms))
+
     def note(self, service_ms: float, failed: bool) -> None:
         """Take one finished request.
 
         :param service_ms: Time from hand-over to the answer's head or the failure,
             in milliseconds.
-        :param failed: Whether no whole answer came.
+        :param failed: Whether no whole answer came, or one that tells of an error.
         """
         self.n_total += 1
-        value = math.log(max(service_ms, 0.1))
+        value = _log_ms(service_ms)
         reference = self._reference()
+        is_very_slow = reference is not None and value > reference.mean + VERY_SLOW
+        self._bads.append(failed or is_very_slow)
         if not failed:
             self._logs.append(value)
-        slow_from = (reference.mean if reference else value) + math.log(
-            VERY_SLOW_FACTOR
-        )
-        bad = failed or value > slow_from
-        self._bad_ratio += BAD_RATIO_WEIGHT * (bad - self._bad_ratio)
-        if reference is not None:
-            self._accumulate(value, bad, failed, reference)
-
-    def observe(self, service_ms: float) -> None:
-        """Take one answered request of a target that is not judged yet.
-
-        :param service_ms: Time from hand-over to the answer's head.
-        """
-        self.n_total += 1
-        self._logs.append(math.log(max(service_ms, 0.1)))
-
-    def _accumulate(
-        self, value: float, bad: bool, failed: bool, reference: Reference
-    ) -> None:
-        was_zero = self._slow_sum == 0 and self._bad_sum == 0
+        if reference is None:
+            return
         if not failed:
-            spread = max(reference.spread, MIN_SPREAD)
-            deviation = min((value - reference.mean) / spread, MAX_DEVIATION)
-            self._slow_sum = max(0.0, self._slow_sum + deviation - SLACK)
+            self._slow_sum = max(0.0, self._slow_sum + reference.surprise(value))
+        self._bad_sum = max(0.0, self._bad_sum + self._bad_step(reference))
+
+    def _bad_step(self, reference: Reference) -> float:
+        """Return the logarithm of the likelihood ratio of the newest request."""
         usual = max(reference.bad_ratio, MIN_BAD_RATIO)
         outlier = max(OUTLIER_BAD_RATIO, min(0.9, 3 * usual))
-        ratio = outlier / usual if bad else (1 - outlier) / (1 - usual)
-        self._bad_sum = max(0.0, self._bad_sum + math.log(ratio))
-        if was_zero and (self._slow_sum > 0 or self._bad_sum > 0):
-            self._mark_peers()
-
-    def _mark_peers(self) -> None:
-        """Note how far the others were when the evidence began to mount."""
-        samples = self._peers_by_target.values()
-        self._marks_by_target = {s.target: s.n_total for s in samples}
-
-    def note_open(self, ages_ms: Iterable[float]) -> float:
-        """Return the slow sum with requests that still run counted as they stand.
-
-        :param ages_ms: Time since hand-over of each request, in milliseconds.
-        """
-        reference = self._reference()
-        if reference is None:
-            return 0.0
-        total = self._slow_sum
-        spread = max(reference.spread, MIN_SPREAD)
-        for age_ms in ages_ms:
-            value = math.log(max(age_ms, 0.1))
-            if value > reference.mean + MIN_EFFECT:
-                deviation = min((value - reference.mean) / spread, MAX_DEVIATION)
-                total += max(0.0, deviation - SLACK)
-        if total > 0 and self._slow_sum == 0 and not self._marks_by_target:
-            self._mark_peers()
-        return total
+        if self._bads[-1]:
+            return math.log(outlier / usual)
+        return math.log((1 - outlier) / (1 - usual))
 
     def is_outlier(self, ages_ms: tuple[float, ...] = ()) -> bool:
-        """Tell whether the evidence suffices and the others were asked since.
+        """Tell whether the evidence suffices and is confirmed.
 
         :param ages_ms: Time since hand-over of each request that still runs.
         """
         reference = self._reference()
-        if reference is None:
-            return False
-        slow_sum = self.note_open(ages_ms)
-        if slow_sum == 0 and self._bad_sum == 0:
+        if reference is None or not self._suffices(ages_ms, reference):
             self._marks_by_target = {}
             return False
-        is_slow = slow_sum > self._limits.slow and self._effect(ages_ms, reference)
-        is_bad = self._bad_sum > self._limits.bad
-        return (is_slow or is_bad) and self._others_went_on()
-
-    def _effect(self, ages_ms: tuple[float, ...], reference: Reference) -> bool:
-        """Tell whether the target is slower by enough to matter."""
-        open_logs = [math.log(max(age_ms, 0.1)) for age_ms in ages_ms]
-        slow_open = [v for v in open_logs if v > reference.mean + MIN_EFFECT]
-        recent = [*list(self._logs)[-8:], *slow_open][-8:]
-        if not recent:
+        if not self._marks_by_target:
+            peers = self._peers_by_target.values()
+            self._marks_by_target = {s.target: s.n_total for s in peers}
+        if not self._others_went_on():
             return False
-        usual_ms = math.exp(reference.mean)
-        mean = fmean(recent)
-        is_apart = math.exp(mean) - usual_ms > MIN_DIFFERENCE_MS
-        return is_apart and mean - reference.mean > MIN_EFFECT
+        if self._is_apart(ages_ms, reference):
+            return True
+        self._forget_evidence()
+        return False
 
-    def _others_went_on(self) -> bool:
-        """Tell whether most others finished requests since the evidence began.
+    def _suffices(self, ages_ms: tuple[float, ...], reference: Reference) -> bool:
+        """Tell whether one of the sums passes its limit.
 
-        Their older figures would not show that the whole service has slowed.
+        Requests that still run count as they stand, if they are late already.
         """
+        slow_sum = self._slow_sum
+        for value in self._late_logs(ages_ms, reference):
+            surprise = reference.surprise(value, MAX_OPEN_DEVIATION)
+            slow_sum += max(0.0, surprise)
+        return slow_sum > self._limits.slow or self._bad_sum > self._limits.bad
+
+    def _late_logs(
+        self, ages_ms: tuple[float, ...], reference: Reference
+    ) -> list[float]:
+        values = map(_log_ms, ages_ms)
+        return [value for value in values if value > reference.mean + MIN_EFFECT]
+
+    def _is_apart(self, ages_ms: tuple[float, ...], reference: Reference) -> bool:
+        """Tell whether the target differs from the others by enough to matter."""
+        late = self._late_logs(ages_ms, reference)
+        recent = [*self._recent, *late][-N_RECENT:]
+        mean = fmean(recent) if recent else 0.0
+        difference_ms = math.exp(mean) - math.exp(reference.mean)
+        if mean > reference.mean + MIN_EFFECT and difference_ms > MIN_DIFFERENCE_MS:
+            return True
+        bad_ratio = self.own_sample[2]
+        usual = max(reference.bad_ratio, MIN_BAD_RATIO)
+        return bad_ratio > 3 * usual and bad_ratio >= LEAST_BAD_RATIO
+
+    def _others_went_on(self) -> bool:
+        """Tell whether most others finished requests since the evidence sufficed."""
         peers = self._peers_by_target.values()
-        n_needed = MIN_REFERENCE_REQUESTS
+        marks = self._marks_by_target
         fresh = [
             s
             for s in peers
-            if s.n_total - self._marks_by_target.get(s.target, s.n_total) >= n_needed
+            if s.n_total - marks.get(s.target, s.n_total) >= MIN_REFERENCE_REQUESTS
         ]
         return len(fresh) > 0 and 2 * len(fresh) >= len(peers)
 
     def _reference(self) -> Reference | None:
-        samples = [
-            s
-            for s in self._peers_by_target.values()
-            if s.n_total >= MIN_REFERENCE_REQUESTS
-        ]
+        peers = self._peers_by_target.values()
+        samples = [s for s in peers if s.n_total >= MIN_REFERENCE_REQUESTS]
         if not samples:
             return None
         return Reference(
@@ -252,10 +252,23 @@
         usual_ms = math.exp(reference.mean + MIN_EFFECT + 2 * reference.spread)
         return service_ms <= max(usual_ms, math.exp(reference.mean) + MIN_DIFFERENCE_MS)
 
-    def reset(self) -> None:
-        """Forget the evidence, after a return or a restart of the target."""
-        self._logs.clear()
-        self._bad_ratio = 0.0
+    def _forget_evidence(self) -> None:
         self._slow_sum = 0.0
         self._bad_sum = 0.0
         self._marks_by_target = {}
+
+    def reset(self) -> None:
+        """Forget all, after a return or a restart of the target."""
+        self._logs.clear()
+        self._bads.clear()
+        self._forget_evidence()
+
+
+def _deviation(values: Collection[float]) -> float:
+    """Return the standard deviation; ``statistics.pstdev`` takes 30 times as long."""
+    mean = fmean(values)
+    return math.sqrt(fmean((value - mean) ** 2 for value in values))
+
+
+def _log_ms(service_ms: float) -> float:
+    return math.log(max(service_ms, MIN_SERVICE_MS))
