--- a/benchmarks/policy_driver.py
+++ b/benchmarks/policy_driver.py
@@ -29,9 +29,9 @@
 
 POLICIES = ("heatherspur", "round robin", "consecutive errors")
 ROUTING = RoutingSettings(5.0, 3.0, 4.0, 3, 20)
-REPORT_S = 0.5
+REPORT_S = 0.4
 FIRST_ARRIVAL_S = 0.1
-TICK_S = 0.05
+TICK_S = 0.1
 TIMEOUT_S = 2.0
 PERMIT_DELAY_S = 0.01
 N_CONSECUTIVE_ERRORS = 5
--- a/src/heatherspur/cli/main.py
+++ b/src/heatherspur/cli/main.py
@@ -48,6 +48,7 @@
 __all__ = ["Heatherspur", "run"]
 
 DIGEST_LENGTH = 64
+HELP_FLAGS = {"--help", "-h"}
 GC_THRESHOLDS = (20_000, 20, 100)
 
 
@@ -270,4 +271,9 @@
     :param command: Class that holds the commands.
     """
     os.environ.setdefault("PAGER", "cat")
-    fire.Fire(command(), name="heatherspur")
+    words = sys.argv[1:]
+    if HELP_FLAGS & set(words):
+        # fire would take the flag for a setting of commands that accept any.
+        kept = [word for word in words if word not in HELP_FLAGS]
+        words = [*kept, "--", "--help"]
+    fire.Fire(command(), command=words, name="heatherspur")
--- a/src/heatherspur/link/hub.py
+++ b/src/heatherspur/link/hub.py
@@ -73,11 +73,8 @@
     """
 
 
-class flush_link(Event):  # noqa: N801
-    """Send what a link has collected, as one frame.
-
-    :param link: The link.
-    """
+class flush_links(Event):  # noqa: N801
+    """Send what links have collected, one frame each."""
 
 
 def channel_of(message: m.Message, is_entry: bool) -> str | None:
@@ -142,7 +139,7 @@
         :param message: The message.
         """
         if not self._pending:
-            self.stream.hub.fire(flush_link(self), "links")
+            self.stream.hub.flush_soon(self)
         self._pending.append(message)
 
     def send_pending(self) -> None:
@@ -194,7 +191,7 @@
         :param message: The message.
         """
         if not self._pending:
-            self._hub.fire(flush_link(self), "links")
+            self._hub.flush_soon(self)
         self._pending.append(message)
 
     def send_pending(self) -> None:
@@ -217,6 +214,7 @@
         self._settings = settings
         self._identity = identity
         self.n_sent_bytes = 0
+        self._unsent: list[Link | LocalLink] = []
 
     def dial(self, address: Address) -> Link:
         """Open a link as its entry side.
@@ -299,9 +297,20 @@
                 return
             self.fire(received(link, tuple(group)), channel)
 
-    @handler("flush_link")
-    def _on_flush_link(self, link):
-        link.send_pending()
+    def flush_soon(self, link: "Link | LocalLink") -> None:
+        """Send what a link has collected once the events at hand are done.
+
+        :param link: The link.
+        """
+        if not self._unsent:
+            self.fire(flush_links(), "links")
+        self._unsent.append(link)
+
+    @handler("flush_links")
+    def _on_flush_links(self):
+        links, self._unsent = self._unsent, []
+        for link in links:
+            link.send_pending()
 
     def open_local(self) -> "LocalLink":
         """Return the entry end of a link from this node to itself."""
--- /dev/null
+++ b/src/heatherspur/link/tests/test_link.py
@@ -0,0 +1,80 @@
+"""Codec and handshake."""
+
+import cbor2
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from heatherspur.link import Handshake, decode, encode
+from heatherspur.link import messages as m
+
+REPORT = m.TargetReport("t", "s", 3, 1, 0, "active", 2.5, 0.1, 0.0, 7)
+
+
+def test_messages_survive_the_way():
+    sent = [
+        m.Heartbeat(1.5, 2.0, 3, 0.25, (REPORT, REPORT)),
+        m.RequestHead(
+            1,
+            "i",
+            1.0,
+            "t",
+            "s",
+            4,
+            "c",
+            b"d",
+            "GET",
+            "/",
+            ((b"a", b"b"),),
+            9,
+            True,
+            False,
+        ),  # fmt: skip
+        m.Records((m.RecordItem(1, "x"),)),
+    ]
+    assert decode(encode(sent), "peer").ok_value == sent
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(st.binary(max_size=100))
+def test_any_bytes_are_a_message_or_an_error(data):
+    assert decode(data, "peer").is_ok() or decode(data, "peer").err_value.reason
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(
+    st.lists(
+        st.one_of(
+            st.integers(0, 60), st.text(max_size=5), st.binary(max_size=5),
+            st.booleans(), st.floats(allow_nan=False), st.lists(st.integers()),
+        ),
+        max_size=14,
+    )
+)  # fmt: skip
+def test_any_array_is_a_message_or_an_error(parts):
+    result = decode(cbor2.dumps([parts]), "peer")
+    if result.is_ok():
+        assert encode(result.ok_value)
+
+
+def _pair(secret_a="secret-one", secret_b="secret-one"):
+    return (
+        Handshake(secret_a, "a", "1", "z", True),
+        Handshake(secret_b, "b", "2", "z", False),
+    )
+
+
+def test_both_sides_prove_the_secret():
+    entry, exit_ = _pair()
+    assert entry.take_hello(exit_.hello) is None
+    assert exit_.take_hello(entry.hello) is None
+    assert exit_.take_proof(entry.proof()) is None
+    assert entry.take_proof(exit_.proof()) is None
+
+
+def test_a_wrong_secret_and_a_reflected_proof_are_refused():
+    entry, exit_ = _pair(secret_b="secret-two")
+    entry.take_hello(exit_.hello)
+    exit_.take_hello(entry.hello)
+    assert exit_.take_proof(entry.proof()) == "wrong fleet secret"
+    assert entry.take_proof(entry.proof()) == "wrong fleet secret"
+    assert _pair()[0].take_proof(m.Proof(b"")) == "proof before hello"
--- a/src/heatherspur/membership/conf.py
+++ b/src/heatherspur/membership/conf.py
@@ -18,7 +18,7 @@
     """How nodes find and watch each other.
 
     :param peers: Link addresses to dial where the log gives none.
-    :param heartbeat_s: Seconds between heartbeats of an exit.
+    :param heartbeat_s: Seconds between heartbeats of an idle exit.
     :param silence_s: Seconds without a heartbeat after which an exit gets no work.
     :param isolation_s: Seconds without a word from the log or any node after which
         a node takes no keyed request.
@@ -36,10 +36,16 @@
 
 MEMBERSHIP_SETTINGS: tuple[Setting, ...] = (
     addresses("peers", "", "Link addresses of other nodes, dialled at the start."),
-    seconds("heartbeat_s", "0.5", 0.05, 10, "Time between heartbeats."),
+    seconds(
+        "heartbeat_s",
+        "0.8",
+        0.05,
+        10,
+        "Time between heartbeats of an idle exit; a busy one halves it.",
+    ),
     seconds(
         "silence_s",
-        "1.5",
+        "2",
         0.2,
         60,
         "Time without a heartbeat after which an exit gets no work from here.",
--- a/src/heatherspur/node/app.py
+++ b/src/heatherspur/node/app.py
@@ -32,7 +32,7 @@
 
 __all__ = ["NodeApp"]
 
-TICK_S = 0.05
+TICK_S = 0.1
 MAX_STEPS_BETWEEN_POLLS = 64
 INCARNATION_BYTES = 8
 MIN_STOP_S = 2.5
@@ -225,6 +225,7 @@
                 for view in self._chooser.all_views()
             ],
             "work_in_hand": self._n_open,
+            "link_bytes_sent": self._hub.n_sent_bytes,
         }
 
     def _render_metrics(self) -> tuple[bytes, str]:
--- a/src/heatherspur/node/members.py
+++ b/src/heatherspur/node/members.py
@@ -21,6 +21,8 @@
 __all__ = ["MembersTask"]
 
 REJOIN_INTERVAL_S = 5.0
+BUSY_SHARE = 0.5
+N_REQUESTS_OF_NEWS = 4
 
 logger = logging.getLogger("heatherspur.members")
 
@@ -66,6 +68,9 @@
         self.registry = TargetRegistry()
         self._dialled_by_node: dict[str, object] = {}
         self._next_heartbeat_s = 0.0
+        self._next_ping_s = 0.0
+        self._beat_at_s = 0.0
+        self._n_reported = 0
         self._next_join_s = 0.0
         self._leaving = False
 
@@ -161,9 +166,10 @@
     def _on_tick(self, now):
         for change in self.registry.expire(now):
             self._pass_on(change)
-        if now >= self._next_heartbeat_s:
-            self._next_heartbeat_s = now + self._heartbeat_s
+        if now >= self._next_heartbeat_s or self._has_news(now):
             self._beat(list(self._links.exit_links), now)
+        if now >= self._next_ping_s:
+            self._next_ping_s = now + self._heartbeat_s
             self._ping(now)
         self._peers.update(self._keeper.fold.nodes_by_id, now)
         for message in list(self._peers.tick(now)):
@@ -175,9 +181,19 @@
         self._check_links(now)
         self._check_own_record(now)
 
+    def _has_news(self, now: float) -> bool:
+        """Tell whether targets finished enough for others to compare with theirs."""
+        if now - self._beat_at_s < self._heartbeat_s * BUSY_SHARE:
+            return False
+        n_total = sum(report.n_total for report in self._reports())
+        return n_total - self._n_reported >= N_REQUESTS_OF_NEWS
+
     def _beat(self, links: list, now: float) -> None:
         """Send a heartbeat."""
         reports = self._reports()
+        self._beat_at_s = now
+        self._next_heartbeat_s = now + self._heartbeat_s
+        self._n_reported = sum(report.n_total for report in reports)
         for link in links:
             heartbeat = m.Heartbeat(
                 clock_s=now,
@@ -194,8 +210,8 @@
             link.send(m.Ping(now))
 
     def _check_links(self, now: float) -> None:
-        for node in self._peers.peers_by_id:
-            self._chooser.mark_reachable(node, self._peers.is_alive(node, now))
+        alive = {peer.node for peer in self._peers.alive(now)}
+        self._chooser.mark_reachable(alive | {self._me.node})
         for peer in list(self._peers.silent_links(now)):
             link = self._dialled_by_node.get(peer.node)
             if link is not None:
--- a/src/heatherspur/routing/chooser.py
+++ b/src/heatherspur/routing/chooser.py
@@ -6,7 +6,7 @@
 
 import math
 import random
-from collections.abc import Iterable, Iterator
+from collections.abc import Collection, Iterable, Iterator
 from statistics import median
 
 from heatherspur.link.messages import TargetReport
@@ -160,17 +160,15 @@
         """
         self.update_node(node, "", ())
 
-    def mark_reachable(self, node: str, reachable: bool) -> None:
-        """Note whether an exit can be reached from here.
+    def mark_reachable(self, nodes: Collection[str]) -> None:
+        """Note which exits can be reached from here.
 
         This is this entry's own view; it ejects no target for others.
 
-        :param node: Node id of the exit.
-        :param reachable: Whether it was heard lately.
+        :param nodes: Node ids of the exits that were heard lately.
         """
         for view in self.all_views():
-            if view.node == node:
-                view.reachable = reachable
+            view.reachable = view.node in nodes
 
     def choose(
         self,
--- a/src/heatherspur/routing/detector.py
+++ b/src/heatherspur/routing/detector.py
@@ -18,14 +18,17 @@
 N_RECENT = 8
 N_SPREAD = 64
 N_RECENT_BAD = 16
+N_USUAL_BAD = 64
 MIN_SERVICE_MS = 0.1
 MIN_SPREAD = 0.25
 MAX_DEVIATION = 4.0
-MAX_OPEN_DEVIATION = 8.0
+MAX_OPEN_DEVIATION = 8.5
 SLACK = 1.0
 MIN_EFFECT = math.log(2.0)
+CHANCE_ERRORS = 4.0  # standard errors of a mean
 MIN_DIFFERENCE_MS = 5.0
 VERY_SLOW = math.log(8.0)
+VERY_SLOW_SPREADS = 4.0
 MIN_BAD_RATIO = 0.02
 OUTLIER_BAD_RATIO = 0.3
 LEAST_BAD_RATIO = 0.15
@@ -86,6 +89,11 @@
     spread: float
     bad_ratio: float
 
+    @property
+    def very_slow(self) -> float:
+        """Logarithm of the time from which a request counts as bad."""
+        return self.mean + max(VERY_SLOW, VERY_SLOW_SPREADS * self.spread)
+
     def surprise(self, value: float, limit: float = MAX_DEVIATION) -> float:
         """Return by how much one service time moves the sum.
 
@@ -109,7 +117,7 @@
     def __init__(self, service_class: str) -> None:
         self._limits = suspicion_limits(service_class)
         self._logs: deque[float] = deque(maxlen=N_SPREAD)
-        self._bads: deque[bool] = deque(maxlen=N_RECENT_BAD)
+        self._bads: deque[bool] = deque(maxlen=N_USUAL_BAD)
         self._slow_sum = 0.0
         self._bad_sum = 0.0
         self.n_total = 0
@@ -153,7 +161,7 @@
         self.n_total += 1
         value = _log_ms(service_ms)
         reference = self._reference()
-        is_very_slow = reference is not None and value > reference.mean + VERY_SLOW
+        is_very_slow = reference is not None and value > reference.very_slow
         self._bads.append(failed or is_very_slow)
         if not failed:
             self._logs.append(value)
@@ -161,6 +169,8 @@
             return
         if not failed:
             self._slow_sum = max(0.0, self._slow_sum + reference.surprise(value))
+        elif value > reference.mean + MIN_EFFECT:
+            self._slow_sum += reference.surprise(value, MAX_OPEN_DEVIATION)
         self._bad_sum = max(0.0, self._bad_sum + self._bad_step(reference))
 
     def _bad_step(self, reference: Reference) -> float:
@@ -213,9 +223,11 @@
         recent = [*self._recent, *late][-N_RECENT:]
         mean = fmean(recent) if recent else 0.0
         difference_ms = math.exp(mean) - math.exp(reference.mean)
-        if mean > reference.mean + MIN_EFFECT and difference_ms > MIN_DIFFERENCE_MS:
+        chance = CHANCE_ERRORS * reference.spread / math.sqrt(N_RECENT)
+        effect = max(MIN_EFFECT, chance)
+        if mean > reference.mean + effect and difference_ms > MIN_DIFFERENCE_MS:
             return True
-        bad_ratio = self.own_sample[2]
+        bad_ratio = fmean(list(self._bads)[-N_RECENT_BAD:]) if self._bads else 0.0
         usual = max(reference.bad_ratio, MIN_BAD_RATIO)
         return bad_ratio > 3 * usual and bad_ratio >= LEAST_BAD_RATIO
 
--- /dev/null
+++ b/src/heatherspur/routing/tests/test_detection.py
@@ -0,0 +1,53 @@
+"""Stated outcomes of detection, on generated traffic with stated seeds."""
+
+import pytest
+
+from benchmarks.policy_driver import CONTESTS, PERMITS, Driver, Scenario
+
+OUT_WITHIN_S_AT_10 = 3.0
+OUT_WITHIN_S_AT_100 = 1.0
+SEED = 11
+
+
+@pytest.mark.parametrize("deployment", [PERMITS, CONTESTS], ids=lambda d: d.name)
+@pytest.mark.parametrize(
+    ("rate", "service_ms", "bound_s"),
+    [(10, 20.0, OUT_WITHIN_S_AT_10), (100, 12.0, OUT_WITHIN_S_AT_100)],
+)
+def test_a_ten_times_slower_target_is_out_in_time(
+    deployment, rate, service_ms, bound_s
+):
+    scenario = Scenario("slow", rate, 26.0, service_ms=service_ms)
+    measures = Driver(deployment, scenario, "heatherspur", SEED).run()
+    assert measures.detection_s is not None
+    assert measures.detection_s <= bound_s
+    assert measures.n_false == 0
+
+
+@pytest.mark.parametrize("fault", ["errors", "truncating", "hang", "flapping"])
+def test_other_gray_faults_are_found(fault):
+    measures = Driver(PERMITS, Scenario(fault), "heatherspur", SEED).run()
+    assert measures.detection_s is not None
+    assert measures.n_false == 0
+    assert measures.least_in_use >= 4
+
+
+@pytest.mark.parametrize(
+    "fault", ["none", "all slow", "cold start", "expensive customer", "slow way"]
+)
+@pytest.mark.parametrize("deployment", [PERMITS, CONTESTS], ids=lambda d: d.name)
+def test_what_is_not_gray_ejects_nothing(deployment, fault):
+    scenario = Scenario(fault, seconds=90.0)
+    measures = Driver(deployment, scenario, "heatherspur", SEED).run()
+    assert measures.n_false == 0
+    assert measures.refused_ratio < 0.001
+
+
+def test_a_flood_leaves_the_others_their_time():
+    """One customer at five times its rate: at most 1.5 times the others' p99."""
+    quiet = Scenario(seconds=40.0, rate_per_target=25, service_ms=20)
+    flood = quiet._replace(noisy_factor=5.0)
+    before = Driver(PERMITS, quiet, "heatherspur", SEED).run()
+    after = Driver(PERMITS, flood, "heatherspur", SEED).run()
+    assert after.worst_p99_ms <= 1.5 * before.worst_p99_ms
+    assert after.refused_ratio == 0
--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -85,6 +85,7 @@
         self.folder = folder
         self.zones = zones
         self.extra_flags = extra_flags
+        self.program = Path(sys.executable).parent / "heatherspur"
         self.processes: dict[str, subprocess.Popen] = {}
         self.log = ""
         self.nodes: list[NodeAddresses] = []
@@ -134,9 +135,8 @@
         node = addresses or NodeAddresses(
             zone, free_address(), free_address(), free_address()
         )
-        program = Path(sys.executable).parent / "heatherspur"
         command = [
-            str(program),
+            str(self.program),
             "node",
             f"--zone={zone}",
             f"--callers={node.callers}",
@@ -206,9 +206,8 @@
 
     def command(self, *words: str, check: bool = True):
         """Run an operator's command and return what it prints."""
-        program = Path(sys.executable).parent / "heatherspur"
         result = subprocess.run(
-            [str(program), *words],
+            [str(self.program), *words],
             env=self.environment,
             capture_output=True,
             text=True,
