--- a/src/heatherspur/replay/runner.py
+++ b/src/heatherspur/replay/runner.py
@@ -1,8 +1,9 @@
 """Replays a trace and checks the outcomes that it states.
 
-A line ``{"expect": KIND, ...}`` states an outcome. ``count`` bounds how many messages
-of a type come out (``type``, ``min``, ``max``). ``state`` names a target and a state
-that it enters between two times (``target``, ``state``, ``after_s``, ``before_s``).
+Lines that start with ``#`` are comments. A line ``{"expect": KIND, ...}`` states an
+outcome. ``count`` bounds how many messages of a type come out (``type``, ``min``,
+``max``). ``state`` names a target and a state that it enters between two times
+(``target``, ``state``, ``after_s``, ``before_s``).
 ``never`` names a state that no target, or the one given, may enter.
 """
 
@@ -51,7 +52,7 @@
 
 def _parsed(lines: Iterable[str]) -> Iterator[tuple[int, dict[str, Any]]]:
     for number, line in enumerate(lines, 1):
-        if not line.strip():
+        if not line.strip() or line.startswith("#"):
             continue
         try:
             value = json.loads(line)
