Tell no holder from over limit, keep links through an own pause, defer logs

Cause: after a pause of 4 s an entry told a customer far inside its rate that it was over its limit; the planner failed on each tick after a fault outlived a table; logs and metrics were written before the answer that they describe. Ruled out: lost tokens (the holder had none to lend yet: its share had just moved). Change: a holder that may not lend says so, and silence is kept until the share answers; a node that stood still gives its links time before it closes them; the planner keeps its fault time; logs and metrics follow the answers; process tests fail on any internal error in a log.

--- a/src/heatherspur/cli/main.py
+++ b/src/heatherspur/cli/main.py
@@ -94,7 +94,10 @@
 
 
 class CatalogueCommands:
-    """Add, change, withdraw and show catalogue entries."""
+    """Add, change, withdraw and show catalogue entries.
+
+    Flags: --log, --log-stream, --log-timeout-s, --operator, --confirm-s.
+    """
 
     def apply(self, file: str, **settings: Any) -> None:
         """Add or change the entries in FILE (TOML or JSON).
@@ -158,7 +161,10 @@
 
 
 class KeyCommands:
-    """Grant, withdraw and list callers' keys."""
+    """Grant, withdraw and list callers' keys.
+
+    Flags: --log, --log-stream, --log-timeout-s, --operator, --confirm-s.
+    """
 
     def grant(self, customer: str, **settings: Any) -> None:
         """Grant a new key to CUSTOMER and print it once; only its digest is kept."""
@@ -225,7 +231,10 @@
         app.run()
 
     def status(self, **settings: Any) -> None:
-        """Show the status of nodes, named by ``--nodes=IP:PORT,IP:PORT``."""
+        """Show the status of nodes, named by ``--nodes=IP:PORT,IP:PORT``.
+
+        ``--timeout-s`` bounds the wait for each.
+        """
         values = _unwrap(
             read_settings(StatusSettings, STATUS_SETTINGS, settings, os.environ)
         )
--- a/src/heatherspur/core/tests/test_settings.py
+++ b/src/heatherspur/core/tests/test_settings.py
@@ -1,3 +1,5 @@
+from pathlib import Path
+
 import pytest
 
 from heatherspur.core import Address
@@ -55,3 +57,12 @@
     for setting in NODE_SETTINGS:
         assert setting.description.endswith(".")
         assert setting.expects
+
+
+def test_the_reference_lists_every_setting():
+    reference = Path(__file__).parents[4] / "docs" / "settings.md"
+    text = reference.read_text("utf-8")
+    for setting in NODE_SETTINGS:
+        assert f"({setting.variable})" in text
+        assert setting.description in text
+        assert setting.expects in text
--- a/src/heatherspur/limits/borrower.py
+++ b/src/heatherspur/limits/borrower.py
@@ -192,7 +192,11 @@
                 message.loan, message.share, message.amount, lapses_at_s
             )
             account.loans.append(loan)
-        if message.amount < 1:
+        if message.amount < 1 and message.wait_ms == 0:
+            self._note_silent(account, message.share, now)
+        else:
+            account.silent_shares.discard(message.share)
+        if message.amount < 1 and message.wait_ms > 0:
             account.refusing_shares.add(message.share)
             retry_at_s = now + max(MIN_RETRY_S, message.wait_ms / 1000)
             account.retry_at_s = min(account.retry_at_s or retry_at_s, retry_at_s)
@@ -273,7 +277,6 @@
         if now < account.retry_at_s:
             return None
         account.refusing_shares.clear()
-        account.silent_shares.clear()
         account.retry_at_s = 0.0
         return order[0]
 
@@ -281,11 +284,14 @@
         for loan, question in list(account.question_by_loan.items()):
             if now - question.sent_at_s > ASK_TIMEOUT_S:
                 del account.question_by_loan[loan]
-                account.refusing_shares.add(question.share)
-                account.silent_shares.add(question.share)
-                self._silent_until_by_share[question.share] = now + AVOID_SILENT_S
-                retry_at_s = now + ASK_TIMEOUT_S
-                account.retry_at_s = max(account.retry_at_s, retry_at_s)
+                self._note_silent(account, question.share, now)
+
+    def _note_silent(self, account: Account, share: int, now: float) -> None:
+        """Note that a share's holder did not answer, or may not lend now."""
+        account.refusing_shares.add(share)
+        account.silent_shares.add(share)
+        self._silent_until_by_share[share] = now + AVOID_SILENT_S
+        account.retry_at_s = max(account.retry_at_s, now + ASK_TIMEOUT_S)
 
     def _refuse_late(self, account: Account, now: float) -> Iterator[Refused]:
         while account.waiters and account.waiters[0].until_s <= now:
--- a/src/heatherspur/limits/lender.py
+++ b/src/heatherspur/limits/lender.py
@@ -12,9 +12,7 @@
     VouchAsk,
 )
 
-__all__ = ["NO_HOLDER_WAIT_MS", "Lender"]
-
-NO_HOLDER_WAIT_MS = 200
+__all__ = ["Lender"]
 
 
 class Lender:
@@ -81,7 +79,7 @@
         for run, holder in self._holders_by_run.items():
             if run.share == ask.share and self.fence.may_lend(run, now):
                 return holder.ask(borrower, ask, now)
-        return TokenGrant(ask.loan, ask.share, ask.customer, 0, NO_HOLDER_WAIT_MS)
+        return TokenGrant(ask.loan, ask.share, ask.customer, 0, 0)
 
     def settle(self, borrower: str, message: TokenSettle, now: float) -> None:
         """Take a report of spent and returned tokens.
--- a/src/heatherspur/limits/planner.py
+++ b/src/heatherspur/limits/planner.py
@@ -48,7 +48,7 @@
         self._settings = settings
         self._epoch = 0
         self._changed_at_s = now
-        self._fault_since_s: float | None = None
+        self._fault_since_s = now
         self._fault: frozenset[int] = frozenset()
 
     def plan(
@@ -68,7 +68,7 @@
         if epoch != self._epoch:
             self._epoch = epoch
             self._changed_at_s = now
-            self._fault_since_s = None
+            self._fault, self._fault_since_s = frozenset(), now
         if table is None:
             delay_s = FIRST_TABLE_DELAY_S + self._rank(nodes_by_id, 0) * RANK_DELAY_S
             if now - self._changed_at_s < delay_s:
@@ -128,7 +128,7 @@
         faults = self._faults(table, nodes_by_id)
         if not faults or faults != self._fault:
             self._fault = faults
-            self._fault_since_s = now if faults else None
+            self._fault_since_s = now
             return None
         holders = {n: nodes_by_id[n] for n in table.members if n in nodes_by_id}
         ranked = holders if self._me.node in holders else nodes_by_id
--- a/src/heatherspur/link/messages.py
+++ b/src/heatherspur/link/messages.py
@@ -302,7 +302,8 @@
     :param share: Index of the share.
     :param customer: Customer id.
     :param amount: Tokens lent; may be 0.
-    :param wait_ms: Expected wait until a whole token is there, in milliseconds.
+    :param wait_ms: Expected wait until a token is there, in milliseconds; 0 where
+        the node asked may not lend now.
     """
 
     loan: int
--- a/src/heatherspur/membership/peers.py
+++ b/src/heatherspur/membership/peers.py
@@ -66,6 +66,14 @@
         self._settings = settings
         self.peers_by_id: dict[str, Peer] = {}
         self._records_by_id: Mapping[str, NodeRecord] = {}
+        self._patient_until_s = 0.0
+
+    def note_pause(self, now: float) -> None:
+        """Note that this process itself stood still; links get time to be heard.
+
+        :param now: Clock reading in seconds.
+        """
+        self._patient_until_s = now + 2 * self._settings.silence_s
 
     def update(self, records_by_id: Mapping[str, NodeRecord], now: float) -> None:
         """Take the nodes that the catalogue names.
@@ -163,6 +171,8 @@
 
         :param now: Clock reading in seconds.
         """
+        if now < self._patient_until_s:
+            return
         for peer in self.peers_by_id.values():
             limit_s = 2 * self._settings.silence_s
             if peer.linked and self._silent_s(peer, now) > limit_s:
--- a/src/heatherspur/node/app.py
+++ b/src/heatherspur/node/app.py
@@ -25,7 +25,7 @@
 from heatherspur.node.exit import ExitTask
 from heatherspur.node.limits import LimitsTask
 from heatherspur.node.members import MembersTask
-from heatherspur.ops import NodeMetrics, OpsServer
+from heatherspur.ops import NodeMetrics, OpsServer, write_deferred_logs
 from heatherspur.platform import LogHub, append
 from heatherspur.replay import TraceWriter, record
 from heatherspur.routing import Chooser, RetryBudget
@@ -95,7 +95,7 @@
         self._hub = LinkHub(settings.links, lambda: identity).register(self)
         self._front = CallerFront(settings.http).register(self)
         self._entry = EntryTask(self._core, keeper, links, self.metrics).register(self)
-        self._exit = ExitTask(self._gate, keeper, self.metrics).register(self)
+        self._exit = ExitTask(self._gate, keeper).register(self)
         interval_s = settings.platform.snapshot_interval_s
         CatalogueTask(keeper, links, me.node, interval_s).register(self)
         self._limits = LimitsTask(me, keeper, links, self._peers, settings.limits)
@@ -134,6 +134,7 @@
             if not len(self._queue):
                 break
             self.flush()
+        write_deferred_logs()
         super().tick(timeout)
 
     @handler("started", channel="*")
--- a/src/heatherspur/node/ejection.py
+++ b/src/heatherspur/node/ejection.py
@@ -126,7 +126,8 @@
         return record(TargetEjector(*arguments), name, arguments, self._trace)
 
     @handler("target_sample")
-    def _on_target_sample(self, target, service_ms, failed):
+    def _on_target_sample(self, service, target, service_ms, failed):
+        self._metrics.note_service(service, service_ms, failed)
         ejector = self.ejectors_by_target.get(target)
         if ejector is not None:
             self._run(ejector.note(service_ms, failed, now_s()))
--- a/src/heatherspur/node/entry.py
+++ b/src/heatherspur/node/entry.py
@@ -204,18 +204,25 @@
 
     def _run(self, messages: Iterable[NamedTuple]) -> None:
         """Carry out what the core decided."""
-        replies = []
+        replies, decisions = [], []
         for message in messages:
             if isinstance(message, SendTo):
                 link = self._links.entry_links_by_node.get(message.node)
                 if link is not None:
                     link.send(message.message)
             elif isinstance(message, Decision):
-                self._log(message)
+                decisions.append(message)
             elif isinstance(message, ReplyHead | ReplyBody | ReplyEnd | ReplyAbort):
                 replies.append(message)
         if replies:
             self.fire(events.reply(replies), "callers")
+        if decisions:
+            self.fire(events.decided(decisions), "entry")
+
+    @handler("decided")
+    def _on_decided(self, decisions):
+        for decision in decisions:
+            self._log(decision)
 
     def _log(self, decision: Decision) -> None:
         self._metrics.note_decision(decision, now_s())
--- a/src/heatherspur/node/events.py
+++ b/src/heatherspur/node/events.py
@@ -12,6 +12,7 @@
     "caller_request",
     "caller_took",
     "catalogue_changed",
+    "decided",
     "limited",
     "node_lost",
     "pause_body",
@@ -139,12 +140,20 @@
 class target_sample(Event):  # noqa: N801
     """A request ended at a target.
 
+    :param service: Service id.
     :param target: Target id.
     :param service_ms: Service time, in milliseconds.
     :param failed: Whether no whole answer came.
     """
 
 
+class decided(Event):  # noqa: N801
+    """Decisions of the entry, for logs and metrics; handled after the answers.
+
+    :param decisions: The decisions.
+    """
+
+
 class report_now(Event):  # noqa: N801
     """Send a heartbeat at once, since a target's state changed."""
 
--- a/src/heatherspur/node/exit.py
+++ b/src/heatherspur/node/exit.py
@@ -27,7 +27,6 @@
 from heatherspur.net import Stream, StreamHub
 from heatherspur.node import events
 from heatherspur.node.entry import OPEN_PREFIX
-from heatherspur.ops import NodeMetrics
 
 __all__ = ["ExitTask"]
 
@@ -93,14 +92,12 @@
 
     :param gate: Decides what runs.
     :param keeper: The catalogue in force; read only.
-    :param metrics: Metrics of the node.
     """
 
-    def __init__(self, gate: ExitGate, keeper: Keeper, metrics: NodeMetrics) -> None:
+    def __init__(self, gate: ExitGate, keeper: Keeper) -> None:
         super().__init__(channel="exit")
         self._gate = gate
         self._keeper = keeper
-        self._metrics = metrics
         self._exchanges_by_key: dict[ExchangeKey, ExitExchange] = {}
         self._announcements_by_target: dict[str, Announcement] = {}
         self._idle_by_target: dict[str, list[TargetConnection]] = {}
@@ -464,9 +461,8 @@
 
     def _sample(self, exchange: ExitExchange, service_ms: float, failed: bool) -> None:
         target = exchange.head.target
-        sample = events.target_sample(target, service_ms, failed)
+        sample = events.target_sample(exchange.head.service, target, service_ms, failed)
         self.fire(sample, "ejection")
-        self._metrics.note_service(exchange.head.service, service_ms, failed)
 
     def _log(self, action: str, exchange: ExitExchange, reason: str) -> None:
         head = exchange.head
--- a/src/heatherspur/node/limits.py
+++ b/src/heatherspur/node/limits.py
@@ -34,7 +34,6 @@
 
 __all__ = ["LimitsTask"]
 
-UNREACHABLE_WAIT_MS = 200
 FORGET_INTERVAL_S = 10.0
 
 logger = logging.getLogger("heatherspur.limits")
@@ -192,7 +191,5 @@
         if link is not None:
             link.send(ask)
             return
-        no_grant = m.TokenGrant(
-            ask.loan, ask.share, ask.customer, 0, UNREACHABLE_WAIT_MS
-        )
+        no_grant = m.TokenGrant(ask.loan, ask.share, ask.customer, 0, 0)
         self._run(self.borrower.grant(no_grant, now_s()))
--- a/src/heatherspur/node/members.py
+++ b/src/heatherspur/node/members.py
@@ -21,6 +21,7 @@
 __all__ = ["MembersTask"]
 
 REJOIN_INTERVAL_S = 5.0
+PAUSE_S = 1.0
 BUSY_SHARE = 0.5
 N_REQUESTS_OF_NEWS = 4
 
@@ -70,6 +71,7 @@
         self._next_heartbeat_s = 0.0
         self._next_ping_s = 0.0
         self._beat_at_s = 0.0
+        self._ticked_at_s = now_s()
         self._n_reported = 0
         self._next_join_s = 0.0
         self._leaving = False
@@ -164,6 +166,9 @@
 
     @handler("tick", channel="*")
     def _on_tick(self, now):
+        if now - self._ticked_at_s > PAUSE_S:
+            self._peers.note_pause(now)
+        self._ticked_at_s = now
         for change in self.registry.expire(now):
             self._pass_on(change)
         if now >= self._next_heartbeat_s or self._has_news(now):
--- a/src/heatherspur/ops/metrics.py
+++ b/src/heatherspur/ops/metrics.py
@@ -1,11 +1,15 @@
 """Metrics of a node, for the operators' listener."""
 
-from aioprometheus import Counter, Gauge, Histogram, Registry, render
+from collections import Counter, defaultdict
+
+from aioprometheus import Counter as CounterMetric
+from aioprometheus import Gauge, Histogram, Registry, render
 
 __all__ = ["NodeMetrics"]
 
 SECONDS_BUCKETS = (0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10)
 MAX_OPEN_TIMES = 100_000
+MAX_WAITING = 10_000
 
 
 class NodeMetrics:
@@ -14,6 +18,10 @@
     def __init__(self) -> None:
         self.registry = Registry()
         self._started_by_exchange: dict[int, float] = {}
+        self._outcomes: Counter[tuple[str, str, str, str]] = Counter()
+        self._request_seconds: dict[tuple[str, str], list[float]] = defaultdict(list)
+        self._service_seconds: dict[str, list[float]] = defaultdict(list)
+        self._n_waiting = 0
         self.requests = self._counter(
             "heatherspur_requests_total",
             "Requests by service, customer, outcome and reason.",
@@ -43,8 +51,8 @@
             registry=self.registry,
         )
 
-    def _counter(self, name: str, doc: str) -> Counter:
-        return Counter(name, doc, registry=self.registry)
+    def _counter(self, name: str, doc: str) -> CounterMetric:
+        return CounterMetric(name, doc, registry=self.registry)
 
     def _histogram(self, name: str, doc: str) -> Histogram:
         return Histogram(name, doc, registry=self.registry, buckets=SECONDS_BUCKETS)
@@ -62,13 +70,7 @@
         self, service: str, customer: str, outcome: str, reason: str
     ) -> None:
         """Count a request by its outcome."""
-        labels = {
-            "service": service,
-            "customer": customer,
-            "outcome": outcome,
-            "reason": reason,
-        }
-        self.requests.inc(labels)
+        self._outcomes[service, customer, outcome, reason] += 1
 
     def note_decision(self, decision, now: float) -> None:
         """Count what the entry decided.
@@ -89,8 +91,8 @@
         self.count_outcome(decision.service, customer, outcome, decision.reason)
         started_s = self._started_by_exchange.pop(decision.exchange, None)
         if started_s is not None:
-            labels = {"service": decision.service, "customer": customer}
-            self.request_seconds.observe(labels, now - started_s)
+            self._request_seconds[decision.service, customer].append(now - started_s)
+            self._bound_waiting()
 
     def note_state(self, change) -> None:
         """Count a change of a target's state.
@@ -101,15 +103,38 @@
 
     def note_service(self, service: str, service_ms: float, failed: bool) -> None:
         """Count a request that ended at a target."""
-        self.service_seconds.observe({"service": service}, service_ms / 1000)
+        self._service_seconds[service].append(service_ms / 1000)
         if failed:
             self.failures.inc({"service": service})
 
+    def _bound_waiting(self) -> None:
+        self._n_waiting += 1
+        if self._n_waiting >= MAX_WAITING:
+            self._register()
+
+    def _register(self) -> None:
+        """Bring the registry up to date; its own counting takes too long a request."""
+        self._n_waiting = 0
+        names = ("service", "customer", "outcome", "reason")
+        for values, number in self._outcomes.items():
+            self.requests.add(dict(zip(names, values, strict=True)), number)
+        self._outcomes.clear()
+        for (service, customer), seconds in self._request_seconds.items():
+            for value in seconds:
+                labels = {"service": service, "customer": customer}
+                self.request_seconds.observe(labels, value)
+        self._request_seconds.clear()
+        for service, seconds in self._service_seconds.items():
+            for value in seconds:
+                self.service_seconds.observe({"service": service}, value)
+        self._service_seconds.clear()
+
     def render(self, counts: dict[str, float]) -> tuple[bytes, str]:
         """Return all metrics as text and their content type.
 
         :param counts: Counts of the node, by kind.
         """
+        self._register()
         for kind, value in counts.items():
             self.gauges.set({"kind": kind}, value)
         body, fields = render(self.registry, [])
--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -102,7 +102,13 @@
         self.environment["HEATHERSPUR_LOG"] = self.log
         return self
 
-    def __exit__(self, *_):
+    def __exit__(self, error_type, *_):
+        self._end_all()
+        logs = "".join(path.read_text() for path in self.folder.glob("node-*.log"))
+        if error_type is None and "internal error" in logs:
+            raise AssertionError(logs[logs.index("internal error") :][:2000])
+
+    def _end_all(self) -> None:
         for relay in self.relays:
             relay.stop()
         for process in self.processes.values():
@@ -217,10 +223,10 @@
             raise AssertionError(f"{words}: {result.returncode}: {result.stderr}")
         return result
 
-    def apply(self, text: str = CATALOGUE) -> None:
+    def apply(self, text: str = CATALOGUE, *flags: str) -> None:
         path = self.folder / "catalogue.toml"
         path.write_text(text)
-        self.command("catalogue", "apply", str(path))
+        self.command("catalogue", "apply", str(path), *flags)
 
     def grant(self, customer: str) -> str:
         return json.loads(self.command("key", "grant", customer).stdout)["key"]
--- a/tests/test_catalogue_failures.py
+++ b/tests/test_catalogue_failures.py
@@ -139,7 +139,7 @@
     offset = fleet.status(fleet.nodes[0])["catalogue"]["offset"]
     fleet.log_faults(retention=6)
     for number in range(12):
-        fleet.apply(_customer(f"club-{number}", 5))
+        fleet.apply(_customer(f"club-{number}", 5), "--confirm-s=0")
     wait_until(lambda: _snapshot_kept(fleet))
     fleet.wake(fleet.nodes[1])
     third = fleet.start_node("a")
