Apply class and queue length to running targets; name the offset when a request is sent

A change of a service's class or queue length reached its targets only at their next change; the offset that a request names was up to 0.1 s old, so that an exit which lagged refused a key granted just before. Ruled out: the fold (the state itself was in force). Change: both tasks follow the catalogue; the core asks for the offset as it sends. Conclusion: both mended.

--- a/src/heatherspur/catalogue/__init__.py
+++ b/src/heatherspur/catalogue/__init__.py
@@ -15,6 +15,7 @@
 from heatherspur.catalogue.conf import CatalogueError, EntryError
 from heatherspur.catalogue.entries import (
     CLASSES,
+    OPEN_CUSTOMER_PREFIX,
     CustomerEntry,
     Entry,
     Route,
@@ -30,6 +31,7 @@
 
 __all__ = [
     "CLASSES",
+    "OPEN_CUSTOMER_PREFIX",
     "AskPeer",
     "CatalogueError",
     "CatalogueFold",
--- a/src/heatherspur/catalogue/entries.py
+++ b/src/heatherspur/catalogue/entries.py
@@ -11,6 +11,7 @@
 
 __all__ = [
     "CLASSES",
+    "OPEN_CUSTOMER_PREFIX",
     "CustomerEntry",
     "Entry",
     "Route",
@@ -22,6 +23,7 @@
 ID_PATTERN = re.compile(r"[a-z0-9][a-z0-9-]{0,62}")
 METHOD_PATTERN = re.compile(r"[A-Z]{1,16}")
 CLASSES = ("steady", "swift")
+OPEN_CUSTOMER_PREFIX = "open:"  # names who calls a service's open routes without a key
 SAFE_METHODS = ("GET", "HEAD", "OPTIONS")
 MAX_RATE_PER_S = 1_000_000
 MAX_TIMEOUT_MS = 600_000
--- a/src/heatherspur/exchange/entry.py
+++ b/src/heatherspur/exchange/entry.py
@@ -6,7 +6,7 @@
 """
 
 import heapq
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from functools import singledispatchmethod
 from typing import NamedTuple
 
@@ -44,10 +44,15 @@
     :param chooser: The targets as this entry sees them.
     :param budget: Retry budget.
     :param max_attempts: Most attempts for one request.
+    :param current_offset: Returns the log offset up to which records are applied.
     """
 
     def __init__(
-        self, chooser: Chooser, budget: RetryBudget, max_attempts: int
+        self,
+        chooser: Chooser,
+        budget: RetryBudget,
+        max_attempts: int,
+        current_offset: Callable[[], int],
     ) -> None:
         self._chooser = chooser
         self._budget = budget
@@ -58,7 +63,7 @@
         self._deadlines: list[tuple[float, int]] = []
         self.incarnations_by_node: dict[str, str] = {}
         self.clocks_by_node: dict[str, float] = {}
-        self.offset = 0
+        self._current_offset = current_offset
 
     def open(self, exchange: EntryExchange) -> None:
         """Take a request that is not admitted yet; its deadline runs.
@@ -161,7 +166,7 @@
             echo_clock_s=self.clocks_by_node.get(node, 0.0),
             target=exchange.view.target,
             service=exchange.service.id,
-            offset=self.offset,
+            offset=self._current_offset(),
             customer=exchange.customer,
             key_digest=exchange.key_digest,
             method=exchange.method,
--- a/src/heatherspur/exchange/tests/model.py
+++ b/src/heatherspur/exchange/tests/model.py
@@ -71,7 +71,7 @@
         self.now = 100.0
         self.chooser = Chooser("z", self.rng)
         budget = RetryBudget(100, self.now)
-        self.core = core_class(self.chooser, budget, 3)
+        self.core = core_class(self.chooser, budget, 3, lambda: 0)
         self.exits = {node: ModelExit(self, node) for node in NODES}
         self.links: dict[str, dict[str, deque]] = {}
         self.stalled_until: dict[tuple[str, str], float] = {}
--- a/src/heatherspur/node/app.py
+++ b/src/heatherspur/node/app.py
@@ -79,7 +79,12 @@
         routing = settings.routing
         self._chooser = Chooser(settings.zone, rng)
         budget = RetryBudget(routing.retry_percent, now)
-        self._core = EntryCore(self._chooser, budget, routing.max_attempts)
+        self._core = EntryCore(
+            self._chooser,
+            budget,
+            routing.max_attempts,
+            lambda: self._keeper.fold.offset,
+        )
         max_age_s = settings.exchange.max_request_age_s
         arguments = (self._me.incarnation, max_age_s)
         self._trace = TraceWriter(settings.trace) if settings.trace else None
--- a/src/heatherspur/node/ejection.py
+++ b/src/heatherspur/node/ejection.py
@@ -26,6 +26,8 @@
 
 __all__ = ["EjectionTask"]
 
+DEFAULT_CLASS = "steady"
+
 logger = logging.getLogger("heatherspur.ejection")
 
 
@@ -113,18 +115,26 @@
         self.fire(events.report_now(), "members")
 
     def _new_ejector(self, announced: Announcement) -> TargetEjector:
-        service = self._keeper.fold.services_by_id.get(announced.service)
-        service_class = service.service_class if service else "steady"
         arguments = (
             announced.service,
             announced.target,
-            service_class,
+            self._class_of(announced.service),
             self._settings,
             now_s(),
         )
         name = f"ejector:{announced.target}"
         return record(TargetEjector(*arguments), name, arguments, self._trace)
 
+    @handler("catalogue_changed", channel="*")
+    def _on_catalogue_changed(self, _results):
+        for target, announced in self._announcements_by_target.items():
+            service_class = self._class_of(announced.service)
+            self.ejectors_by_target[target].set_class(service_class)
+
+    def _class_of(self, service_id: str) -> str:
+        service = self._keeper.fold.services_by_id.get(service_id)
+        return service.service_class if service else DEFAULT_CLASS
+
     @handler("target_sample")
     def _on_target_sample(self, service, target, service_ms, failed):
         self._metrics.note_service(service, service_ms, failed)
--- a/src/heatherspur/node/entry.py
+++ b/src/heatherspur/node/entry.py
@@ -8,7 +8,7 @@
 from circuits import BaseComponent, handler
 from result import Err, Ok, Result
 
-from heatherspur.catalogue import Keeper, ServiceEntry, key_digest
+from heatherspur.catalogue import OPEN_CUSTOMER_PREFIX, Keeper, ServiceEntry, key_digest
 from heatherspur.core import now_s
 from heatherspur.exchange import (
     Decision,
@@ -27,9 +27,8 @@
 from heatherspur.node.directory import LinkDirectory
 from heatherspur.ops import NodeMetrics
 
-__all__ = ["OPEN_PREFIX", "EntryTask"]
+__all__ = ["EntryTask"]
 
-OPEN_PREFIX = "open:"
 RETRY_ISOLATED_S = 3.0
 
 logger = logging.getLogger("heatherspur.entry")
@@ -127,7 +126,9 @@
             deadline_s=now + timeout_ms / 1000,
             started_at_s=now,
         )
-        return Ok(Admission(new, customer.ok_value or OPEN_PREFIX + service.id))
+        return Ok(
+            Admission(new, customer.ok_value or OPEN_CUSTOMER_PREFIX + service.id)
+        )
 
     def _customer(
         self, digest: bytes, is_open: bool, now: float
@@ -199,7 +200,6 @@
 
     @handler("tick", channel="*")
     def _on_tick(self, now):
-        self._core.offset = self._keeper.fold.offset
         self._run(self._core.tick(now))
 
     def _run(self, messages: Iterable[NamedTuple]) -> None:
--- a/src/heatherspur/node/exit.py
+++ b/src/heatherspur/node/exit.py
@@ -6,7 +6,7 @@
 import h11
 from circuits import handler
 
-from heatherspur.catalogue import Keeper
+from heatherspur.catalogue import OPEN_CUSTOMER_PREFIX, Keeper
 from heatherspur.core import now_s
 from heatherspur.exchange import Arrival, ExchangeKey, ExitGate, Refuse, Start
 from heatherspur.http import (
@@ -21,7 +21,6 @@
 from heatherspur.membership import Announcement
 from heatherspur.net import Stream, StreamHub
 from heatherspur.node import events
-from heatherspur.node.entry import OPEN_PREFIX
 from heatherspur.node.target_connections import (
     ExitExchange,
     IdleConnections,
@@ -69,13 +68,22 @@
         target = announced.target
         if change.state == "ready":
             self._announcements_by_target[target] = announced
-            service = self._keeper.fold.services_by_id.get(announced.service)
-            max_queue = service.max_queue if service else DEFAULT_MAX_QUEUE
-            self._gate.set_target(target, announced.slots, max_queue)
+            self._open_gate(announced)
             return
+        self._announcements_by_target.pop(target, None)
         self._run(self._gate.close_target(target))
         self._idle.close_target(target)
 
+    def _open_gate(self, announced: Announcement) -> None:
+        service = self._keeper.fold.services_by_id.get(announced.service)
+        max_queue = service.max_queue if service else DEFAULT_MAX_QUEUE
+        self._gate.set_target(announced.target, announced.slots, max_queue)
+
+    @handler("catalogue_changed", channel="*")
+    def _on_catalogue_changed(self, _results):
+        for announced in self._announcements_by_target.values():
+            self._open_gate(announced)
+
     @handler("received")
     def _on_received(self, link, messages):
         for message in messages:
@@ -105,7 +113,7 @@
     def _on_request(self, key: ExchangeKey, link, head: m.RequestHead) -> None:
         now = now_s()
         reason = self._key_problem(head)
-        customer = head.customer or OPEN_PREFIX + head.service
+        customer = head.customer or OPEN_CUSTOMER_PREFIX + head.service
         arrival = Arrival(
             key=key,
             incarnation=head.incarnation,
--- a/src/heatherspur/node/limits.py
+++ b/src/heatherspur/node/limits.py
@@ -6,6 +6,7 @@
 from circuits import BaseComponent, handler
 
 from heatherspur.catalogue import (
+    OPEN_CUSTOMER_PREFIX,
     Keeper,
     NodeRecord,
     limit_table,
@@ -29,7 +30,6 @@
 from heatherspur.membership import PeerTable
 from heatherspur.node import events
 from heatherspur.node.directory import LinkDirectory
-from heatherspur.node.entry import OPEN_PREFIX
 from heatherspur.platform import append
 
 __all__ = ["LimitsTask"]
@@ -79,8 +79,10 @@
     def _limit_of(self, customer: str) -> tuple[float, int] | None:
         """Return rate and burst of a customer, or of a service's open routes."""
         fold = self._keeper.fold
-        if customer.startswith(OPEN_PREFIX):
-            service = fold.services_by_id.get(customer.removeprefix(OPEN_PREFIX))
+        if customer.startswith(OPEN_CUSTOMER_PREFIX):
+            service = fold.services_by_id.get(
+                customer.removeprefix(OPEN_CUSTOMER_PREFIX)
+            )
             return (service.open_rate, service.open_burst) if service else None
         entry = fold.customers_by_id.get(customer)
         return (entry.rate, entry.burst) if entry else None
--- a/src/heatherspur/replay/recorder.py
+++ b/src/heatherspur/replay/recorder.py
@@ -22,7 +22,15 @@
         )
     ),
     "TargetEjector": frozenset(
-        ("note", "answer", "drain_target", "restart_target", "update_peers", "tick")
+        (
+            "set_class",
+            "note",
+            "answer",
+            "drain_target",
+            "restart_target",
+            "update_peers",
+            "tick",
+        )
     ),
 }
 
--- a/src/heatherspur/routing/detector.py
+++ b/src/heatherspur/routing/detector.py
@@ -124,6 +124,13 @@
         self._peers_by_target: dict[str, PeerSample] = {}
         self._marks_by_target: dict[str, int] = {}
 
+    def set_class(self, service_class: str) -> None:
+        """Use the limits of another class; the evidence stays.
+
+        :param service_class: ``steady`` or ``swift``.
+        """
+        self._limits = suspicion_limits(service_class)
+
     @property
     def own_sample(self) -> tuple[float, float, float]:
         """Mean and spread of the logarithm of service times, and bad ratio."""
--- a/src/heatherspur/routing/ejection.py
+++ b/src/heatherspur/routing/ejection.py
@@ -80,6 +80,13 @@
         self._backoff_factor = 1
         self._n_good_probes = 0
 
+    def set_class(self, service_class: str) -> None:
+        """Take the class that the catalogue gives the service now.
+
+        :param service_class: ``steady`` or ``swift``.
+        """
+        self.detector.set_class(service_class)
+
     def update_peers(self, samples: Iterable[PeerSample]) -> None:
         """Take the newest figures of the service's other targets in use.
 
--- a/src/heatherspur/routing/tests/test_floor.py
+++ b/src/heatherspur/routing/tests/test_floor.py
@@ -5,7 +5,14 @@
 import pytest
 
 from heatherspur.link.messages import TargetReport
-from heatherspur.routing import Chooser, PermitLedger, max_ejected
+from heatherspur.routing import (
+    Chooser,
+    PeerSample,
+    PermitLedger,
+    RoutingSettings,
+    TargetEjector,
+    max_ejected,
+)
 
 LAPSE_S = 3.0
 
@@ -114,3 +121,18 @@
     assert first.target == "near"
     chooser.views("s")["near"].n_load = 12
     assert chooser.choose("s", 0.5, False, frozenset(), 1.0).target == "far"
+
+
+def test_a_class_that_changes_counts_for_a_running_target():
+    """A target announced before its service was known once stayed ``steady``."""
+    settings = RoutingSettings(0.0, 3.0, 4.0, 3, 20)
+    ejector = TargetEjector("s", "t", "steady", settings, 0.0)
+    ejector.set_class("swift")
+    ejector.update_peers(PeerSample(f"p{i}", 2.0, 0.2, 0.0, 50) for i in range(3))
+    list(ejector.tick((), 1.0))
+    for i in range(3):
+        ejector.note(2.0, True, 1.0 + i / 10)
+    list(ejector.tick((), 1.5))
+    ejector.update_peers(PeerSample(f"p{i}", 2.0, 0.2, 0.0, 90) for i in range(3))
+    list(ejector.tick((), 2.0))
+    assert ejector.state == "suspected"
