--- a/src/heatherspur/limits/fence.py
+++ b/src/heatherspur/limits/fence.py
@@ -169,6 +169,21 @@
         """
         return self.started_at_s(run, now) is not None and self._proved(now)
 
+    def may_keep(self, run: Run, lease_s: float, now: float) -> bool:
+        """Tell whether this node may grant leases of another kind for a share.
+
+        An earlier holder may have granted some just before it stopped lending, so a
+        new one waits until the longest of them has lapsed.
+
+        :param run: One of :attr:`runs`.
+        :param lease_s: Longest lease of that kind, in seconds.
+        :param now: Clock reading in seconds.
+        """
+        started_at_s = self.started_at_s(run, now)
+        if started_at_s is None or now - started_at_s < lease_s:
+            return False
+        return self._proved(now)
+
     def started_at_s(self, run: Run, now: float) -> float | None:
         """Return since when this node may mint for a share.
 
--- a/src/heatherspur/limits/tests/test_model.py
+++ b/src/heatherspur/limits/tests/test_model.py
@@ -83,6 +83,26 @@
     assert fence.may_lend(fence.runs[0], 120.1) is may
 
 
+def test_a_new_holder_grants_permits_only_after_the_old_ones_lapsed():
+    """Permits last longer than loans; the wait for loans alone is too short."""
+    lease_s = 3.2
+    shares = tuple(Share(name, f"{name}-1", "z") for name in ("n1", "n2", "n3"))
+    moved = (Share("n4", "n4-1", "z"), *shares[1:])
+    fence = Fence("n4", "n4-1", SETTINGS)
+    fence.apply_tables((LimitTable(1, shares), LimitTable(2, moved)), {}, 100.0)
+    fence.see_head(100.0)
+    for ask in fence.ask(100.0):
+        fence.take_answer(ask.node, ask.round, 2, 100.0)
+    run = fence.runs[0]
+    assert fence.started_at_s(run, 100.0) is None
+    now = 100.0 + SETTINGS.takeover_wait_s
+    fence.see_head(now)
+    assert fence.may_lend(run, now)
+    assert not fence.may_keep(run, lease_s, now)
+    fence.see_head(now + lease_s)
+    assert fence.may_keep(run, lease_s, now + lease_s)
+
+
 def test_a_holder_that_lost_its_share_and_got_it_back_waits_again():
     def table(epoch, holder):
         return LimitTable(epoch, (Share(holder, f"{holder}-1", "z"),))
--- a/src/heatherspur/node/ejection.py
+++ b/src/heatherspur/node/ejection.py
@@ -176,7 +176,8 @@
             return False
         share = self._permit_share(service)
         runs = [run for run in self._fence.runs if run.share == share]
-        return any(self._fence.may_lend(run, now) for run in runs)
+        lease_s = self._permits.lease_s
+        return any(self._fence.may_keep(run, lease_s, now) for run in runs)
 
     @handler("stop_node", channel="*")
     def _on_stop_node(self):
--- a/src/heatherspur/routing/permits.py
+++ b/src/heatherspur/routing/permits.py
@@ -33,6 +33,11 @@
         self._lease_s = lapse_s * (1 + CLOCK_DRIFT_RATIO) + SCHEDULING_MARGIN_S
         self._lapses_by_service: dict[str, dict[str, float]] = {}
 
+    @property
+    def lease_s(self) -> float:
+        """Longest time that a permit counts here, in seconds."""
+        return self._lease_s
+
     def n_out(self, service: str, now: float) -> int:
         """Return the permits of a service that have not lapsed."""
         return len(self._current(service, now))
--- a/tests/standins/http_server.py
+++ b/tests/standins/http_server.py
@@ -82,7 +82,8 @@
             fields = [*response.fields, (b"content-length", b"%d" % len(response.body))]
             reply = h11.Response(status_code=response.status, headers=fields)
             data = connection.send(reply)
-            data += connection.send(h11.Data(data=response.body))
+            if request.method != "HEAD":
+                data += connection.send(h11.Data(data=response.body))
             data += connection.send(h11.EndOfMessage())
             writer.write(data)
             await writer.drain()
--- a/tests/standins/target.py
+++ b/tests/standins/target.py
@@ -1,6 +1,7 @@
 """Stand-in for a target: a small HTTP service with slots and gray modes.
 
-``PUT /control`` takes ``{"mode": ..., "service_s": ..., "drain": true}``. Modes:
+``PUT /control`` takes ``{"mode": ..., "service_s": ..., "drain": true, "cold_s": 3}``
+(slow for a time, as after a start). It gives up at a request's deadline. Modes:
 ``good``, ``slow`` (ten times), ``partial`` (every fifth request hangs), ``truncate``,
 ``error`` (status 500), ``garbage``, ``hang``, ``shed`` and ``close`` (after the work).
 ``GET /seen`` returns how often each request ran and every field that came with it.
@@ -10,6 +11,7 @@
 import asyncio
 import contextlib
 import json
+import time
 import urllib.request
 from collections import Counter
 
@@ -26,6 +28,9 @@
         self.n_slots = slots
         self.service_s = service_s
         self.mode = "good"
+        self.cold_until_s = 0.0
+        self.n_expired = 0
+        self.cold_s = 0.0
         self.silent = False
         self.drain = False
         self.n_requests = 0
@@ -38,6 +43,9 @@
         if request.path == "/control":
             for name, value in json.loads(request.body).items():
                 setattr(self, name, value)
+            if self.cold_s:
+                self.cold_until_s = time.monotonic() + self.cold_s
+                self.cold_s = 0.0
             return json_response({"ok": True})
         if request.path == "/seen":
             return json_response(self.seen())
@@ -54,6 +62,7 @@
             "paths": self.seen_paths,
             "n_requests": self.n_requests,
             "n_cancelled": self.n_cancelled,
+            "n_expired": self.n_expired,
         }
 
     async def _work(self, request: Request) -> Response | None:
@@ -66,15 +75,21 @@
         self.seen_fields.append([f"{n}: {v}" for n, v in fields.items()])
         if "x-request-id" in fields:
             self.runs_by_id[fields["x-request-id"]] += 1
-        async with self.slots:
-            await asyncio.sleep(self._service_s(mode))
+        left_s = int(fields.get("heatherspur-deadline-ms", 60_000)) / 1000
+        try:
+            async with asyncio.timeout(left_s), self.slots:
+                await asyncio.sleep(self._service_s(mode))
+        except TimeoutError:
+            self.n_expired += 1
+            return Response(504, b"deadline is over\n")
         return self._answer(mode, request, fields)
 
     def _service_s(self, mode: str) -> float:
         is_fifth = self.n_requests % 5 == 0
         if mode == "hang" or (mode == "partial" and is_fifth):
             return HANG_S
-        return self.service_s * (SLOW_FACTOR if mode == "slow" else 1)
+        is_cold = time.monotonic() < self.cold_until_s
+        return self.service_s * (SLOW_FACTOR if mode == "slow" or is_cold else 1)
 
     def _answer(self, mode: str, request: Request, fields: dict) -> Response | None:
         if mode == "close":
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -10,7 +10,8 @@
 
 @pytest.fixture(scope="module")
 def fleet(tmp_path_factory):
-    with Fleet(tmp_path_factory.mktemp("fleet")) as running:
+    folder = tmp_path_factory.mktemp("fleet")
+    with Fleet(folder, extra_flags=("--head-timeout-s=1",)) as running:
         running.start_nodes_with_targets()
         running.apply()
         running.wait_ready(n_targets=2)
@@ -100,6 +101,25 @@
     assert b"Traceback" not in received
 
 
+def test_a_slow_head_is_refused(fleet):
+    host, _, port = fleet.nodes[0].callers.rpartition(":")
+    with socket.create_connection((host, int(port)), timeout=10) as sock:
+        sock.sendall(b"GET /permits HTTP/1.1\r\nhost: x\r\n")
+        received = b""
+        while chunk := sock.recv(4096):
+            received += chunk
+    assert received.startswith(b"HTTP/1.1 408 ")
+
+
+def test_head_has_no_body_and_keeps_the_connection(fleet):
+    with httpx.Client() as client:
+        answer = client.head(_url(fleet, "/permits"), headers=_fields(fleet))
+        assert (answer.status_code, answer.content) == (200, b"")
+        assert client.get(_url(fleet, "/permits"), headers=_fields(fleet)).json()
+        missing = client.head(_url(fleet, "/nowhere"))
+        assert missing.headers["heatherspur-outcome"] == "not-run"
+
+
 def test_a_broken_catalogue_entry_is_refused_whole(fleet):
     path = fleet.folder / "broken.toml"
     path.write_text('[[customer]]\nid="x"\nowner="x"\nrate=-1\nburst=1\n')
