--- a/src/heatherspur/routing/detector.py
+++ b/src/heatherspur/routing/detector.py
@@ -30,6 +30,7 @@
 VERY_SLOW = math.log(8.0)
 VERY_SLOW_SPREADS = 4.0
 MIN_BAD_RATIO = 0.02
+MAX_BAD_RATIO = 0.9
 OUTLIER_BAD_RATIO = 0.3
 LEAST_BAD_RATIO = 0.15
 MIN_REFERENCE_REQUESTS = 8
@@ -182,8 +183,8 @@
 
     def _bad_step(self, reference: Reference) -> float:
         """Return the logarithm of the likelihood ratio of the newest request."""
-        usual = max(reference.bad_ratio, MIN_BAD_RATIO)
-        outlier = max(OUTLIER_BAD_RATIO, min(0.9, 3 * usual))
+        usual = min(max(reference.bad_ratio, MIN_BAD_RATIO), MAX_BAD_RATIO)
+        outlier = max(OUTLIER_BAD_RATIO, min(MAX_BAD_RATIO, 3 * usual))
         if self._bads[-1]:
             return math.log(outlier / usual)
         return math.log((1 - outlier) / (1 - usual))
--- a/src/heatherspur/routing/tests/test_floor.py
+++ b/src/heatherspur/routing/tests/test_floor.py
@@ -136,3 +136,16 @@
     ejector.update_peers(PeerSample(f"p{i}", 2.0, 0.2, 0.0, 90) for i in range(3))
     list(ejector.tick((), 2.0))
     assert ejector.state == "suspected"
+
+
+def test_a_service_whose_every_request_fails_has_no_outlier():
+    """With all others at a bad ratio of 1 the likelihood ratio divided by zero."""
+    settings = RoutingSettings(0.0, 3.0, 4.0, 3, 20)
+    ejector = TargetEjector("s", "t", "swift", settings, 0.0)
+    ejector.update_peers(PeerSample(f"p{i}", 2.0, 0.2, 1.0, 50) for i in range(3))
+    list(ejector.tick((), 1.0))
+    for i in range(50):
+        ejector.note(2.0, i % 10 > 0, 1.0 + i / 100)
+    ejector.update_peers(PeerSample(f"p{i}", 2.0, 0.2, 1.0, 90) for i in range(3))
+    list(ejector.tick((), 2.0))
+    assert ejector.state == "active"
