Refuse nodes whose address can't be dialled

Ruled out: nothing. Change: the setting is checked, folding refuses such a record, and a peer that answers under another id than the one dialled is hung up on. Figures: the fold's test fails without the check. Conclusion: mended.

--- a/src/heatherspur/catalogue/fold.py
+++ b/src/heatherspur/catalogue/fold.py
@@ -18,6 +18,7 @@
 )
 from heatherspur.catalogue.routes import RouteIndex
 from heatherspur.catalogue.tables import LimitTable, NodeRecord, Share
+from heatherspur.core import parse_address
 
 __all__ = ["CatalogueFold", "ChangeResult", "KeyOwner"]
 
@@ -216,6 +217,7 @@
 
     def _apply_node_join(self, offset: int, record: dict[str, Any]) -> str:
         node = NodeRecord(**record["node"])
+        parse_address(node.node)  # peers dial it; a broken one is refused here
         self.nodes_by_id[node.node] = node
         return ACCEPTED
 
--- a/src/heatherspur/catalogue/tests/test_fold.py
+++ b/src/heatherspur/catalogue/tests/test_fold.py
@@ -6,12 +6,14 @@
     CatalogueFold,
     CustomerEntry,
     Keeper,
+    NodeRecord,
     Route,
     ServiceEntry,
     entry_put,
     entry_withdraw,
     key_grant,
     key_withdraw,
+    node_join,
     snapshot,
 )
 from heatherspur.catalogue.fold import rebuild
@@ -83,6 +85,15 @@
     assert "broken" in fold.results_by_change["x"].outcome
 
 
+def test_a_node_without_a_usable_address_is_refused():
+    """Every node dials the nodes in force; one broken id stopped all their ticks."""
+    fold = fold_of(
+        node_join("a", NodeRecord("host:1", "i", "z", "o")),
+        node_join("b", NodeRecord("127.0.0.1:1", "i", "z", "o")),
+    )
+    assert list(fold.nodes_by_id) == ["127.0.0.1:1"]
+
+
 def test_keys_come_and_go():
     digest = bytes(32)
     fold = fold_of(
--- a/src/heatherspur/core/settings.py
+++ b/src/heatherspur/core/settings.py
@@ -23,6 +23,8 @@
     "addresses",
     "count",
     "log_level",
+    "optional_address",
+    "parse_address",
     "read_settings",
     "seconds",
     "text",
@@ -160,6 +162,21 @@
     return Setting(name, parse_address, default, expects, description)
 
 
+def optional_address(name: str, description: str) -> Setting:
+    """Declare an address that may be left out.
+
+    :param name: Name of the setting.
+    :param description: What it changes.
+    :returns: The setting; its value is a text, empty where it is left out.
+    """
+
+    def parse(value: str) -> str:
+        return str(parse_address(value)) if value else ""
+
+    expects = "an address such as 127.0.0.1:8080, by IP number, or nothing"
+    return Setting(name, parse, "", expects, description)
+
+
 def addresses(name: str, default: str | None, description: str) -> Setting:
     """Declare a list of addresses, separated by commas.
 
--- a/src/heatherspur/core/tests/test_settings.py
+++ b/src/heatherspur/core/tests/test_settings.py
@@ -35,6 +35,7 @@
         ("zone", ""),
         ("log_level", "loud"),
         ("peers", "x"),
+        ("advertise", "host:1"),
     ],
 )
 def test_a_wrong_value_is_named_with_what_is_expected(name, value):
--- a/src/heatherspur/membership/registry.py
+++ b/src/heatherspur/membership/registry.py
@@ -6,8 +6,7 @@
 from circuits import Event
 from result import Err, Ok, Result
 
-from heatherspur.core import Address
-from heatherspur.core.settings import parse_address
+from heatherspur.core import Address, parse_address
 from heatherspur.membership.conf import AnnouncementError
 
 __all__ = [
--- a/src/heatherspur/node/conf.py
+++ b/src/heatherspur/node/conf.py
@@ -12,6 +12,7 @@
     address,
     count,
     log_level,
+    optional_address,
     read_settings,
     text,
 )
@@ -69,11 +70,9 @@
     text("zone", None, "Availability zone of the node."),
     address("callers", None, "Address for callers."),
     address("link", None, "Address for other nodes."),
-    text(
+    optional_address(
         "advertise",
-        "",
         "Address under which other nodes reach --link, if another; the node's id.",
-        min_length=0,
     ),
     address("ops", None, "Address for operators and for the announcements of targets."),
     log_level("log_level", "info", "Least severe level that is logged."),
--- a/src/heatherspur/node/members.py
+++ b/src/heatherspur/node/members.py
@@ -7,8 +7,7 @@
 
 from heatherspur.catalogue import Keeper, NodeRecord, new_change_id, node_join
 from heatherspur.catalogue import node_leave as node_leave_record
-from heatherspur.core import now_s
-from heatherspur.core.settings import parse_address
+from heatherspur.core import now_s, parse_address
 from heatherspur.exchange import EntryCore
 from heatherspur.link import LinkHub
 from heatherspur.link import messages as m
@@ -107,6 +106,7 @@
             return
         node = link.node
         if self._dialled_by_node.get(node) is not link:
+            self._hub.lose(link.stream, f"answers as {node}")
             return
         self._links.entry_links_by_node[node] = link
         self._core.incarnations_by_node[node] = link.incarnation
