Pass the measured ways to the choice in the driver; drop an unused method

Ruled out: the chooser itself. Change: the driver notes ways as the entry does; TargetEjector.warm_share, which nobody called, is gone. Conclusion: an entry avoids a slow way by itself; nothing is ejected.

--- a/benchmarks/policy_driver.py
+++ b/benchmarks/policy_driver.py
@@ -106,13 +106,14 @@
     """One request on its way."""
 
     __slots__ = ("attempts", "customer", "done", "entry", "excluded", "key", "sent_s",
-                 "started_s", "target", "view")  # fmt: skip
+                 "started_s", "target", "tried_s", "view", "way_s")  # fmt: skip
 
     def __init__(self, entry: int, customer: int, now: float) -> None:
         self.entry, self.customer, self.sent_s = entry, customer, now
         self.attempts, self.excluded = 0, frozenset()
         self.done, self.key, self.target, self.view = False, None, 0, None
         self.started_s: float | None = None
+        self.tried_s = self.way_s = 0.0
 
 
 SHARES = (0.35, 0.25, 0.1, 0.08, 0.07, 0.06, 0.05, 0.04)
@@ -216,6 +217,7 @@
             self._end(request, "refused")
             return
         request.target = chosen
+        request.tried_s = self.now
         self.at(self._way_s(request), self._at_exit, request)
 
     def _choose(self, request: Request) -> int | None:
@@ -253,6 +255,7 @@
             return
         key = ExchangeKey("e", next(self.numbers))
         request.key = key
+        request.way_s = self.now - request.tried_s
         self.requests[key] = request
         customer = "x" if self.policy != "heatherspur" else str(request.customer)
         left_ms = int((request.sent_s + TIMEOUT_S - self.now) * 1000)
@@ -340,6 +343,9 @@
     def _answered(self, request: Request, failed: bool, service_ms: float) -> None:
         if request.done:
             return
+        if request.view is not None:
+            back_s = self.now - request.started_s - service_ms / 1000
+            request.view.note_way((request.way_s + back_s) * 1000)
         self._release(request)
         if failed and self._may_retry(request):
             self._send(request)
--- a/src/heatherspur/routing/ejection.py
+++ b/src/heatherspur/routing/ejection.py
@@ -172,16 +172,6 @@
         self._started_at_s = now
         return [self._move("restart", "target came back")]
 
-    def warm_share(self, now: float) -> float:
-        """Return the share of its usual load that a new target gets, 0 to 1.
-
-        :param now: Clock reading in seconds.
-        """
-        warm_up_s = self._settings.warm_up_s
-        if warm_up_s <= 0:
-            return 1.0
-        return min(1.0, max(0.1, (now - self._started_at_s) / warm_up_s))
-
     def tick(self, ages_ms: tuple[float, ...], now: float) -> Iterator[NamedTuple]:
         """Let time pass.
 
