Let the first table wait for as many nodes as there are shares

Ruled out: load on the machine (the logs show the table), the fence (it was right). Change: the first table waits up to 3 s for enough nodes; process tests of three and more nodes wait until the shares are spread.

--- a/src/heatherspur/limits/planner.py
+++ b/src/heatherspur/limits/planner.py
@@ -15,6 +15,7 @@
 
 RANK_DELAY_S = 0.3
 FIRST_TABLE_DELAY_S = 1.0
+FEW_NODES_DELAY_S = 3.0  # a table of one node has no majority without it
 COOL_DOWN_S = 4.0
 
 
@@ -70,7 +71,9 @@
             self._changed_at_s = now
             self._fault, self._fault_since_s = frozenset(), now
         if table is None:
-            delay_s = FIRST_TABLE_DELAY_S + self._rank(nodes_by_id, 0) * RANK_DELAY_S
+            is_small = len(nodes_by_id) < self._settings.limit_shares
+            delay_s = FEW_NODES_DELAY_S if is_small else FIRST_TABLE_DELAY_S
+            delay_s += self._rank(nodes_by_id, 0) * RANK_DELAY_S
             if now - self._changed_at_s < delay_s:
                 return None
             self._changed_at_s = now
--- a/src/heatherspur/limits/tests/test_planner.py
+++ b/src/heatherspur/limits/tests/test_planner.py
@@ -23,6 +23,14 @@
     assert {share.zone for share in table.shares} == {"z0", "z1", "z2"}
 
 
+def test_the_first_table_waits_for_enough_nodes():
+    """A table of one node, cut off a moment later, could not be replaced."""
+    planner = TablePlanner(NODES[0], SETTINGS, 0.0)
+    assert planned(planner, None, NODES[:1], 0.0, 2.9) is None
+    table = planned(planner, None, NODES[:3], 2.9, 5.0)
+    assert len(table.members) == 3
+
+
 def test_a_dead_holder_is_replaced_in_its_zone_and_others_keep_theirs():
     planner = TablePlanner(NODES[0], SETTINGS, 0.0)
     table = LimitTable(1, tuple(Share(*node) for node in NODES[:3]))
--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -14,6 +14,7 @@
 from tests.standins.relay import Relay
 
 SECRET = "secret-of-the-test-fleet"
+N_SHARES = 3
 CATALOGUE = """
 [[service]]
 id = "permits"
@@ -200,6 +201,9 @@
                     and sum(t["reachable"] for t in status["targets"]) >= n_targets
                 ),
             )
+        most = 1 if len(self.nodes) >= N_SHARES else N_SHARES
+        for node in self.nodes:
+            self.wait_for(node, lambda s: len(s["limits"]["shares"]) <= most)
         shares = 0
         for node in self.nodes:
             shares += len(self.status(node)["limits"]["shares"])
