--- a/src/heatherspur/routing/detector.py
+++ b/src/heatherspur/routing/detector.py
@@ -285,7 +285,7 @@
 
 
 def _deviation(values: Collection[float]) -> float:
-    """Return the standard deviation; ``statistics.pstdev`` takes 30 times as long."""
+    """Return the standard deviation, in floats; ``pstdev`` works with fractions."""
     mean = fmean(values)
     return math.sqrt(fmean((value - mean) ** 2 for value in values))
 
