--- a/src/heatherspur/dispatch/fleet.py
+++ b/src/heatherspur/dispatch/fleet.py
@@ -76,6 +76,11 @@
         """Number of nodes known."""
         return max(1, len(self.members_by_host))
 
+    @property
+    def n_ready(self) -> int:
+        """Number of targets that take new requests."""
+        return sum(member.ready for member in self.members_by_host.values())
+
     def candidates(self, service: str, now: float) -> Iterable[Member]:
         """Yield the members of a service that may take a request.
 
--- a/src/heatherspur/sidecar/app.py
+++ b/src/heatherspur/sidecar/app.py
@@ -284,6 +284,7 @@
             "exchanges_exit": self._exit.n_open,
             "reservations_waiting": self._exit.n_waiting,
             "nodes_answering": len(self._fleet.nodes(now)),
+            "targets_ready": self._fleet.n_ready,
             "configuration": self._table.version if self._table else 0,
             "store_calls": self._store.n_calls,
             "store_reachable": int(self._store.reachable),
--- a/tests/standins/platform_log.py
+++ b/tests/standins/platform_log.py
@@ -1,4 +1,4 @@
-"""Stand-in for the platform's store, as far as the project's own streams need it.
+"""Stand-in for the platform's store: appends, long reads and newest records.
 
 ``PUT /faults`` takes ``{"down": true, "delay_s": 0.1, "lose_replies": 2,
 "retention": 100}``: an outage, a delay, a number of appends whose reply is lost
@@ -8,6 +8,7 @@
 
 import argparse
 import asyncio
+import base64
 import contextlib
 import json
 import struct
@@ -71,6 +72,8 @@
         parts = urlsplit(request.path)
         query = parse_qs(parts.query)
         stream = self.streams_by_name.setdefault(query["topic"][0], Stream())
+        if parts.path == "/log-newest":
+            return self._newest(stream)
         if parts.path == "/log-append":
             if b'"entry_put"' in request.body:
                 await self._hold()
@@ -101,6 +104,20 @@
             return None
         return json_response({"offset": first, "end_offset": stream.head})
 
+    def _newest(self, stream: Stream) -> Response:
+        items_by_key = {}
+        for i, record in enumerate(stream.records):
+            length = record[0]
+            key, value = record[1 : 1 + length].decode(), record[1 + length :]
+            items_by_key.pop(key, None)
+            if value:
+                text = base64.b64encode(value).decode()
+                offset = stream.oldest + i
+                items_by_key[key] = {"key": key, "value": text, "offset": offset}
+        items = [items_by_key[key] for key in sorted(items_by_key)]
+        answer = {"items": items, "has_more": False, "end_offset": stream.head}
+        return json_response(answer)
+
     async def _read(self, stream: Stream, query: dict) -> Response | None:
         start = int(query["from"][0])
         if start < stream.oldest:
--- /dev/null
+++ b/tests/test_platform_path.py
@@ -0,0 +1,192 @@
+"""Nodes on the stand-ins of the users' platform: what must hold."""
+
+import concurrent.futures
+import signal
+import socket
+import time
+
+import pytest
+
+from tests.standins.site import KEY, Site, make_config, wait_until
+
+IN_FORCE_S = 2.0
+GRACE_S = 6.0
+
+
+@pytest.fixture
+def site(tmp_path):
+    with Site(tmp_path) as running:
+        running.start()
+        yield running
+
+
+def _ask_all(site, path, method="GET", n_requests=6, **changes):
+    return [
+        site.ask(site.hosts[i % len(site.hosts)], path, method, **changes)
+        for i in range(n_requests)
+    ]
+
+
+def test_request_reaches_a_target_with_the_fields_it_needs_and_no_key(site):
+    answer = site.ask(site.hosts[0], "/read/1?x=2", fields={"X-Own": "kept"})
+    assert answer.status_code == 200
+    assert "heatherspur-response-signature" in answer.headers
+    seen = [f for h in site.hosts for f in site.control(h)["fields"]]
+    (fields,) = [f for f in seen if f["path"] == "/read/1?x=2"]
+    assert fields["heatherspur-tenant"] == "inn"
+    assert fields["heatherspur-caller-service"] == "permits"
+    assert fields["x-own"] == "kept"
+    assert 0 < int(fields["heatherspur-deadline-ms"]) <= 2000
+    assert KEY not in str(fields)
+
+
+def test_claimed_identity_is_replaced(site):
+    claims = {"Heatherspur-Tenant": "else", "Heatherspur-Caller-Service": "else"}
+    assert site.ask(site.hosts[0], "/read/claim", fields=claims).status_code == 200
+    seen = [f for h in site.hosts for f in site.control(h)["fields"]]
+    (fields,) = [f for f in seen if f["path"] == "/read/claim"]
+    assert fields["heatherspur-tenant"] == "inn"
+    assert fields["heatherspur-caller-service"] == "permits"
+
+
+def test_keys_and_routes_are_checked(site):
+    host = site.hosts[0]
+    wrong = {"Authorization": "Bearer nobody"}
+    assert site.ask(host, "/read/1", fields=wrong).status_code == 401
+    assert site.ask(host, "/none/1").status_code == 404
+    assert site.ask(host, "/open/1", fields=wrong).status_code == 200
+
+
+@pytest.mark.parametrize(
+    "mode", ["reset", "truncate", "garbage", "unsigned", "hang", "error"]
+)
+def test_gray_target_never_makes_a_request_run_twice(site, mode):
+    site.control(site.hosts[0], mode=mode)
+    answers = _ask_all(site, "/once/1", "POST", content=b"permit")
+    assert all(a.status_code in (200, 500, 502, 503, 504) for a in answers)
+    assert max(site.runs_by_id().values()) == 1
+    assert answers[-1].status_code == 200
+
+
+@pytest.mark.parametrize("mode", ["reset", "truncate", "garbage", "unsigned", "error"])
+def test_idempotent_requests_survive_a_gray_target(site, mode):
+    site.control(site.hosts[0], mode=mode)
+    answers = _ask_all(site, "/read/1")
+    assert [a.status_code for a in answers] == [200] * len(answers)
+
+
+@pytest.mark.parametrize("mode", ["extra", "unframed"])
+def test_answers_with_odd_framing_reach_their_own_caller(site, mode):
+    for host in site.hosts:
+        site.control(host, mode=mode)
+    for i in range(6):
+        answer = site.ask(site.hosts[i % 2], f"/read/{i}")
+        assert answer.status_code == 200
+        assert f"/read/{i}\n" in answer.text
+
+
+def test_leaving_target_gets_nothing_more(site):
+    leaving, other = site.hosts
+    site.control(leaving, state="draining")
+    wait_until(lambda: '"ready":false' in site.logs())
+    before = sum(site.control(leaving)["runs"].values())
+    answers = _ask_all(site, "/read/1")
+    assert [a.status_code for a in answers] == [200] * 6
+    assert sum(site.control(leaving)["runs"].values()) == before
+    assert site.is_ready(leaving)
+
+
+def test_newer_configuration_is_in_force_in_time_and_an_older_one_never(site):
+    key = "n" * 20
+    tenants = [{"name": "inn", "api_keys": [key], "rate_per_s": 200, "burst": 200}]
+    site.put_config(make_config(5, tenants=tenants))
+    time.sleep(IN_FORCE_S)
+    for answer in _ask_all(site, "/read/1"):
+        assert answer.status_code == 401
+    site.put_config(make_config(4))
+    time.sleep(IN_FORCE_S)
+    fields = {"Authorization": f"Bearer {key}"}
+    for answer in _ask_all(site, "/read/1", fields=fields):
+        assert answer.status_code == 200
+
+
+def test_malformed_records_and_reports_change_nothing(site):
+    site.put_config({"version": "r9", "routes": "none"})
+    host = site.hosts[0]
+    for body in (b"{", b"[]", b'{"status":{"state":"odd"}}'):
+        url = host.url("control") + "/instances/x/heartbeat"
+        assert site.client.post(url, content=body).status_code == 400
+    time.sleep(0.5)
+    assert [a.status_code for a in _ask_all(site, "/read/1")] == [200] * 6
+    assert "configuration skipped" in site.logs()
+
+
+def test_limit_holds_over_all_nodes(site):
+    tenants = [{"name": "inn", "api_keys": [KEY], "rate_per_s": 5, "burst": 5}]
+    site.put_config(make_config(2, tenants=tenants))
+    time.sleep(IN_FORCE_S)
+    start_s = time.monotonic()
+    statuses = [a.status_code for a in _ask_all(site, "/read/1", n_requests=60)]
+    elapsed_s = time.monotonic() - start_s
+    assert statuses.count(200) <= 5 * elapsed_s + 5 + 1
+    assert set(statuses) == {200, 429}
+
+
+def test_store_outage_does_not_stop_requests(site):
+    site.store_faults(down=True)
+    time.sleep(1.0)
+    assert [a.status_code for a in _ask_all(site, "/read/1")] == [200] * 6
+
+
+def test_node_without_configuration_says_so(tmp_path):
+    with Site(tmp_path, hosts=(("a", "permits"),)) as site:
+        (host,) = site.hosts
+        site.store_faults(down=True)
+        site.start_target(host)
+        site.start_node(host)
+        wait_until(lambda: site.ask(host, "/read/1").status_code == 503)
+        assert not site.is_ready(host)
+        site.store_faults(down=False)
+        site.put_config(make_config())
+        site.wait_ready(host)
+
+
+def test_stopped_node_answers_what_it_has_read(site):
+    host = site.hosts[0]
+    for other in site.hosts:
+        site.control(other, service_s=1.0)
+    with concurrent.futures.ThreadPoolExecutor(2) as pool:
+        asked = [pool.submit(site.ask, host, "/read/1") for _ in range(2)]
+        time.sleep(0.3)
+        site.signal(host, signal.SIGTERM)
+        assert [a.result().status_code for a in asked] == [200, 200]
+    assert site.processes_by_name[host.name].wait(timeout=GRACE_S) == 0
+
+
+def test_gone_caller_frees_the_target(site):
+    for host in site.hosts:
+        site.control(host, service_s=5.0)
+    with pytest.raises(Exception, match="timed out"):
+        site.ask(site.hosts[0], "/read/1", timeout=0.3)
+    wait_until(lambda: sum(site.control(h)["n_cancelled"] for h in site.hosts) == 1, 1)
+
+
+def test_killed_node_comes_back(site):
+    host = site.hosts[0]
+    site.signal(host, signal.SIGKILL)
+    site.processes_by_name[host.name].wait()
+    answers = [site.ask(site.hosts[1], "/read/1") for _ in range(4)]
+    assert [a.status_code for a in answers] == [200] * 4
+    site.start_node(host)
+    site.wait_ready(host)
+
+
+def test_bad_chunk_gets_its_answer_before_the_close(site):
+    host = site.hosts[0]
+    port = int(host.url("outbound").rpartition(":")[2])
+    with socket.create_connection((host.ip, port)) as caller:
+        caller.sendall(
+            b"POST /once/1 HTTP/1.1\r\nHost: a.example\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n0x3\r\nabc\r\n0\r\n\r\n"
+        )
+        assert caller.recv(4096).startswith(b"HTTP/1.1 400 ")
