--- a/src/heatherspur/cli/main.py
+++ b/src/heatherspur/cli/main.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 import fire
+from fire.decorators import SetParseFn
 from result import Result
 
 from heatherspur import __version__
@@ -43,7 +44,9 @@
 from heatherspur.core import read_settings
 from heatherspur.node import NODE_SETTINGS, NodeApp, read_node_settings
 from heatherspur.ops import configure_logs
+from heatherspur.ops.explain import explain
 from heatherspur.replay import TraceError, replay_trace
+from heatherspur.sidecar.main import run_sidecar
 
 __all__ = ["Heatherspur", "run"]
 
@@ -243,6 +246,26 @@
         if None in answers.values():
             sys.exit(EXIT_FAILED)
 
+    def sidecar(self) -> None:
+        """Run a node on the users' platform.
+
+        Its settings are in the file that the platform names in the environment.
+        """
+        run_sidecar()
+
+    @SetParseFn(str)  # ids may look like numbers
+    def explain(self, request_id: str, *files: str) -> None:
+        """Show what became of the request REQUEST_ID in the log FILES of nodes."""
+        lines: list[str] = []
+        for file in files:
+            try:
+                lines += Path(file).read_text("utf-8", "replace").splitlines()
+            except OSError as error:
+                _unwrap_usage(f"{file}: {error.strerror}")
+        found = _unwrap(explain(request_id, lines))
+        steps = [step._asdict() for step in found.steps]
+        _show({**found._asdict(), "steps": steps})
+
     def replay(self, trace: str) -> None:
         """Replay a recorded TRACE and check the outcomes that it states."""
         try:
--- /dev/null
+++ b/src/heatherspur/ops/explain.py
@@ -0,0 +1,116 @@
+"""Finds what became of one request in the logs of all nodes."""
+
+from collections.abc import Iterable, Iterator
+from typing import Any, NamedTuple
+
+import orjson
+from result import Err, Ok, Result
+
+from heatherspur.core import HeatherspurError
+
+__all__ = ["ExplainError", "Explanation", "explain"]
+
+SENTENCES_BY_REASON = {
+    "over-limit": "its customer was over its rate and burst",
+    "no-room": "no target had a slot in time; callers asked for more than there was",
+    "no-target": "the node knew no target of the service that took requests",
+    "no-configuration": "the node had not read a configuration yet",
+    "no-route": "no route matched its host and path",
+    "key-not-in-force": "its key was not in force",
+    "stopping": "the node was about to end",
+    "deadline": "its time was over before it could be sent",
+    "repeat-budget": "the repeats allowed for its service were used up",
+    "timeout": "the final answer was due before the target gave one",
+    "target-lost": "the target closed or reset the connection without an answer",
+    "cut-short": "the target's answer ended early",
+    "garbled": "the target sent bytes that are no answer",
+    "unsigned": "the answer did not bear the target's signature",
+    "connect-failed": "the target did not accept a connection",
+    "target-error": "the target answered with an error of its own",
+    "exit-restarted": "the node beside the target was restarted meanwhile",
+    "link-lost": "the link between two nodes was lost",
+    "caller-gone": "the caller closed its connection",
+    "whole": "the target's whole answer was passed on",
+}
+FINAL_ACTIONS = (
+    "entry: answered",
+    "entry: not run",
+    "entry: outcome unknown",
+    "entry: cancelled",
+    "entry: request refused",
+)
+DETAILS_LEFT_OUT = {"time", "level", "message", "node_id", "request_id", "exchange"}
+
+
+class ExplainError(HeatherspurError):
+    """The logs do not tell what became of a request."""
+
+
+class Step(NamedTuple):
+    """One log line on the request.
+
+    :param time: When it was written.
+    :param node: Node that wrote it.
+    :param message: The short sentence.
+    :param details: What decided it.
+    """
+
+    time: str
+    node: str
+    message: str
+    details: dict[str, Any]
+
+
+class Explanation(NamedTuple):
+    """What became of one request.
+
+    :param request_id: Caller's id of the request.
+    :param outcome: How it ended.
+    :param cause: Why, in one sentence.
+    :param steps: The log lines, in order.
+    """
+
+    request_id: str
+    outcome: str
+    cause: str
+    steps: tuple[Step, ...]
+
+
+def _lines_of(request_id: str, lines: Iterable[str]) -> Iterator[dict[str, Any]]:
+    for line in lines:
+        if request_id not in line:
+            continue
+        try:
+            fields = orjson.loads(line[line.index("{") :])
+        except ValueError:
+            continue
+        if fields.get("request_id") == request_id:
+            yield fields
+
+
+def _step(fields: dict[str, Any]) -> Step:
+    details = {k: v for k, v in fields.items() if k not in DETAILS_LEFT_OUT}
+    return Step(fields["time"], fields["node_id"], fields["message"], details)
+
+
+def explain(request_id: str, lines: Iterable[str]) -> Result[Explanation, ExplainError]:
+    """Put the lines of all nodes on one request in order and name the cause.
+
+    :param request_id: Caller's id of the request.
+    :param lines: Log lines of any nodes; text before the JSON object is ignored.
+    """
+    found = sorted(_lines_of(request_id, lines), key=lambda fields: fields["time"])
+    if not found:
+        reason = "no line bears this id; was its node's log given?"
+        return Err(ExplainError("explain request", request_id, reason))
+    steps = tuple(map(_step, found))
+    final = next((s for s in reversed(steps) if s.message in FINAL_ACTIONS), steps[-1])
+    reason = str(final.details.get("reason", ""))
+    cause = SENTENCES_BY_REASON.get(reason, reason)
+    if final not in steps or final.message not in FINAL_ACTIONS:
+        return Ok(Explanation(request_id, "no final answer", cause, steps))
+    status = final.details.get("status")
+    outcome = final.message.removeprefix("entry: ")
+    if status:
+        outcome = f"{outcome}, status {status}"
+    return Ok(Explanation(request_id, outcome, cause, steps))
