Read on from the last record seen, not from the end that the store names

Change: reading goes on after the last record of the first page; after a gap in the history from the oldest record kept. Test: test_change_during_the_first_read_is_not_missed failed before, passes now.

--- a/src/heatherspur/dispatch/dispatcher.py
+++ b/src/heatherspur/dispatch/dispatcher.py
@@ -38,6 +38,11 @@
 # Until the first answers are in; typical of the users' services.
 DEFAULT_RUN_S = 0.3
 RUN_SMOOTHING = 0.1
+# Waiting longer helps few requests in lasting overload, and keeps callers from
+# coming back; a shorter wait would refuse requests in short bursts.
+MAX_WAIT_OBJECTIVES = 1.25
+# A request that is repeated late still gets a fair chance.
+MIN_ROUND_OBJECTIVES = 0.25
 # A request whose answer can't come in time is refused before this share of its
 # time is over, so that its caller can still come back.
 MIN_START_MARGIN_S = 0.03
@@ -97,6 +102,7 @@
         self.grant: m.Grant | None = None
         self.awaited_numbers: set[int] = set()
         self.asked_at_s = now
+        self.round_at_s = now
         self.tried_nodes: set[str] = set()
         self.asked_nodes: set[str] = set()
         self.executing: int | None = None
@@ -240,16 +246,26 @@
                 return
         if opened.request.exchange not in self._open_by_exchange:
             return
-        if now + best_ms / 1000 > self._start_by_s(opened):
+        if now + best_ms / 1000 > self._wait_until_s(opened):
             yield from self._give_up(opened, "no-room", now)
 
-    def _start_by_s(self, opened: _Open) -> float:
+    def _last_start_s(self, opened: _Open) -> float:
         """Return the clock reading after which no answer can come in time."""
         request = opened.request
         run_s = self._run_s_by_service.get(request.service, DEFAULT_RUN_S)
         total_s = request.timeout_at_s - request.opened_at_s
         return request.timeout_at_s - min(run_s, total_s / 2) - MIN_START_MARGIN_S
 
+    def _wait_until_s(self, opened: _Open) -> float:
+        """Return the clock reading at which waiting for a slot ends."""
+        request = opened.request
+        objective_s = request.route.objective_s
+        patience_at_s = max(
+            request.opened_at_s + objective_s * MAX_WAIT_OBJECTIVES,
+            opened.round_at_s + objective_s * MIN_ROUND_OBJECTIVES,
+        )
+        return min(self._last_start_s(opened), patience_at_s)
+
     @receive.register
     def _on_decline(self, message: m.Decline, node: str, now: float):
         opened = self._open_by_number.pop(message.number, None)
@@ -412,15 +428,15 @@
     ) -> Iterator[NamedTuple]:
         """Ask for another slot, if attempts, time and the repeat budget allow it."""
         request = opened.request
-        if opened.n_handed >= request.route.max_targets or now > self._start_by_s(
-            opened
-        ):
+        is_spent = opened.n_handed >= request.route.max_targets
+        if is_spent or now > self._last_start_s(opened):
             yield from self._give_up(opened, reason, now)
         elif counts and not self._budget(request.service, now).take(
             self._fleet.n_nodes, now
         ):
             yield from self._give_up(opened, "repeat-budget", now)
         else:
+            opened.round_at_s = now
             yield from self._ask(opened, now)
 
     def lose_node(self, node: str, now: float) -> Iterator[NamedTuple]:
@@ -504,7 +520,7 @@
             elif opened.executing is None and now >= opened.ask_more_at_s:
                 yield from self._ask(opened, now)
                 is_open = opened.request.exchange in self._open_by_exchange
-                if is_open and now >= self._start_by_s(opened):
+                if is_open and now >= self._wait_until_s(opened):
                     yield from self._give_up(opened, "no-room", now)
 
     def _give_up(self, opened: _Open, reason: str, now: float) -> Iterator[NamedTuple]:
--- a/src/heatherspur/dispatch/tests/test_verdict.py
+++ b/src/heatherspur/dispatch/tests/test_verdict.py
@@ -75,3 +75,12 @@
             verdict.note_success(now)
     assert lost < naive_lost / 5
     assert n_sent > 1200
+
+
+def test_target_that_sheds_goes_on_getting_work():
+    verdict = TargetVerdict()
+    verdict.note_success(5.0)
+    for _ in range(10):
+        verdict.note_shed()
+    assert verdict.may_run(False, 2, 6.0)
+    assert verdict.proven_at_s < 5.0
--- a/src/heatherspur/dispatch/verdict.py
+++ b/src/heatherspur/dispatch/verdict.py
@@ -77,6 +77,15 @@
             self._outcomes.clear()
             self.note_failure(now)
 
+    def note_shed(self) -> None:
+        """Count a request that the target turned away without running it.
+
+        That harms nobody but may go on, so other targets are taken first where there
+        is a choice. All targets of a service may shed; then some work is better
+        than none.
+        """
+        self.proven_at_s = -MAX_DOUBT_S
+
     def may_run(self, may_probe: bool, n_busy: int, now: float) -> bool:
         """Tell whether the target may get a request now.
 
--- a/src/heatherspur/platform/keyed.py
+++ b/src/heatherspur/platform/keyed.py
@@ -18,6 +18,7 @@
     encode_record,
     newest_path,
     parse_newest,
+    parse_oldest,
     parse_read,
     read_path,
 )
@@ -80,7 +81,8 @@
         self.name = name
         self.offset: int | None = None
         self.after = ""
-        self.head = 0
+        self.next_offset = 0
+        self.oldest = 0
         self.pages: tuple[KeyedRecord, ...] = ()
 
 
@@ -168,7 +170,7 @@
             self._finish_write(channel, call, status)
         elif status == STATUS_GONE:
             logger.info("store: history is gone", extra={"topic": channel.name})
-            channel.offset, channel.after, channel.pages = None, "", ()
+            self._start_over(channel, body)
         elif status != STATUS_OK:
             self.fail_answer(channel, call, f"status {status}")
         elif call.kind == "newest":
@@ -176,6 +178,12 @@
         else:
             self._finish_read(channel, call, body)
 
+    def _start_over(self, topic: _Topic, body: bytes) -> None:
+        """Read the newest records again, and go on from the oldest kept."""
+        oldest = parse_oldest(body, str(self._address))
+        topic.oldest = max(topic.oldest, oldest.unwrap_or(0))
+        topic.offset, topic.after, topic.pages = None, "", ()
+
     def _note_reachable(self, channel: StoreChannel) -> None:
         channel.n_failures = 0
         if channel is self._topics[0] and not self.reachable:
@@ -190,16 +198,16 @@
             return
         answer = parsed.ok_value
         self._note_reachable(topic)
-        if not call.context:
-            # Pages are no snapshot: what is written meanwhile is read again.
-            topic.head = answer.head
+        # Pages are no snapshot: what is written meanwhile is read again.
+        first = topic.next_offset if call.context else answer.next_offset
+        topic.next_offset = min(first, answer.next_offset)
         topic.pages += answer.records
         topic.after = answer.after
         if answer.after:
             self._start_read(topic, now_s())
             return
         records, topic.pages = topic.pages, ()
-        topic.offset = topic.head
+        topic.offset = max(topic.next_offset, topic.oldest)
         self.fire(records_read(topic.name, records, True), "*")
         self._start_read(topic, now_s())
 
--- a/src/heatherspur/platform/protocol.py
+++ b/src/heatherspur/platform/protocol.py
@@ -80,12 +80,13 @@
 
     :param records: The records, ordered by key.
     :param after: Key after which the next page starts; empty on the last page.
-    :param head: Offset that the next record will get.
+    :param next_offset: Offset after the last of the records. The end that the store
+        names may already count a record that is not among them.
     """
 
     records: tuple[KeyedRecord, ...]
     after: str
-    head: int
+    next_offset: int
 
 
 def append_path(topic: str) -> str:
@@ -231,6 +232,7 @@
             for item in answer["items"]
         )
         after = records[-1].key if answer["has_more"] else ""
-        return Ok(NewestAnswer(records, after, answer["end_offset"]))
+        offsets = [int(item["offset"]) for item in answer["items"]]
+        return Ok(NewestAnswer(records, after, max(offsets, default=-1) + 1))
     except (ValueError, KeyError, TypeError, IndexError):
         return Err(LogError("read newest", peer, "answer is not understood"))
--- a/src/heatherspur/sidecar/exit.py
+++ b/src/heatherspur/sidecar/exit.py
@@ -282,7 +282,7 @@
             # Another target has the address; its first report opens it again.
             self._set_accepting(False)
         else:
-            self._slots.verdict.note_error(now)
+            self._slots.verdict.note_shed()
         reason = f"target-status-{request.status}"
         self._log("not run", request, reason, {})
         self._tell(request, m.NotRun(request.key.number, reason, True))
--- a/tests/standins/platform_log.py
+++ b/tests/standins/platform_log.py
@@ -46,6 +46,7 @@
         self.streams_by_name: dict[str, Stream] = {}
         self.down = False
         self.delay_s = 0.0
+        self.newest_gap_s = 0.0
         self.lose_replies = 0
         self.hold_appends = 0
         self.held: list[asyncio.Event] = []
@@ -73,7 +74,7 @@
         query = parse_qs(parts.query)
         stream = self.streams_by_name.setdefault(query["topic"][0], Stream())
         if parts.path == "/log-newest":
-            return self._newest(stream)
+            return await self._newest_late(stream)
         if parts.path == "/log-append":
             if b'"entry_put"' in request.body:
                 await self._hold()
@@ -118,6 +119,12 @@
         answer = {"items": items, "has_more": False, "end_offset": stream.head}
         return json_response(answer)
 
+    async def _newest_late(self, stream: Stream) -> Response:
+        """Answer with an end that already counts a record not among the items."""
+        answer = json.loads(self._newest(stream).body)
+        await asyncio.sleep(self.newest_gap_s)
+        return json_response({**answer, "end_offset": stream.head})
+
     async def _read(self, stream: Stream, query: dict) -> Response | None:
         start = int(query["from"][0])
         if start < stream.oldest:
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -151,6 +151,19 @@
         site.wait_ready(host)
 
 
+def test_change_during_the_first_read_is_not_missed(tmp_path):
+    with Site(tmp_path, hosts=(("a", "permits"),)) as site:
+        (host,) = site.hosts
+        site.put_config(make_config(1))
+        site.store_faults(newest_gap_s=1.0)
+        site.start_target(host)
+        site.start_node(host)
+        time.sleep(1.0)  # the node has asked and waits for its answer
+        site.put_config(make_config(2, tenants=[]))
+        site.wait_ready(host)
+        wait_until(lambda: site.ask(host, "/read/1").status_code == 401, IN_FORCE_S)
+
+
 def test_stopped_node_answers_what_it_has_read(site):
     host = site.hosts[0]
     for other in site.hosts:
