Reload on SIGHUP instead of ending

Cause: circuits takes SIGINT and SIGTERM only; SIGHUP ended the process. Test: test_reload_signals_change_nothing_but_the_settings failed before, passes now.

--- a/src/heatherspur/sidecar/app.py
+++ b/src/heatherspur/sidecar/app.py
@@ -8,6 +8,7 @@
 
 import cbor2
 from circuits import BaseComponent, handler
+from circuits.core.events import signal as signal_event
 from circuits.core.pollers import EPoll
 
 from heatherspur.core import Address, now_s
@@ -106,6 +107,8 @@
 
     @handler("started", channel="*")
     def _on_started(self, *_):
+        # circuits itself takes only the signals that end a process.
+        signals.signal(signals.SIGHUP, lambda *args: self.fire(signal_event(*args)))
         settings = self._settings
         try:
             self._hub.listen(settings.links)
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -176,6 +176,15 @@
     assert site.processes_by_name[host.name].wait(timeout=GRACE_S) == 0
 
 
+def test_reload_signals_change_nothing_but_the_settings(site):
+    host = site.hosts[0]
+    for _ in range(3):
+        site.signal(host, signal.SIGHUP)
+        assert site.ask(host, "/read/1").status_code == 200
+    wait_until(lambda: "node: reloaded" in site.logs())
+    assert site.processes_by_name[host.name].poll() is None
+
+
 def test_gone_caller_frees_the_target(site):
     for host in site.hosts:
         site.control(host, service_s=5.0)
