--- a/tests/standins/site.py
+++ b/tests/standins/site.py
@@ -90,6 +90,7 @@
             for i, (zone, service) in enumerate(hosts, 1)
         ]
         self.store = ""
+        self.stores_by_host: dict[str, str] = {}
         self.processes_by_name: dict[str, subprocess.Popen] = {}
         self._ids = itertools.count(1)
         self.client = httpx.Client(timeout=10)
@@ -162,12 +163,13 @@
             "listen": {name: f"{host.ip}:{port}" for name, port in PORTS.items()},
             "app_addr": f"{host.ip}:{TARGET_PORT}",
             "service": host.service,
-            "provider": {"address": self.store},
+            "provider": {"address": self.stores_by_host.get(host.name, self.store)},
             "bounds": list(BOUNDS),
         }
         path = self.folder / f"{host.name}.json"
         path.write_text(json.dumps(settings))
-        with (self.folder / f"{host.name}.log").open("a") as output:
+        log = self.folder / f"{host.name}.log"
+        with log.open("a") as output:
             self.processes_by_name[host.name] = subprocess.Popen(
                 [sys.executable, str(ROOT / "deploy" / "node.py")],
                 stdout=output,
