Keep the first reads after a start or an outage short

Change: reads wait 0.5 s at first and longer each time, so that a read that is not woken is followed by another within the bound.

--- a/src/heatherspur/platform/keyed.py
+++ b/src/heatherspur/platform/keyed.py
@@ -31,6 +31,9 @@
 # the keepalive.
 READ_WAIT_S = 25.0
 READ_MARGIN_S = 2.0
+# The first reads after a start or an outage are short: a read that the store took
+# while a record was being written may not be woken by it.
+FIRST_READ_WAIT_S = 0.5
 # Records that come in quick succession are read together; well below the bound
 # on configuration, which is 2 s.
 PAUSE_AFTER_RECORDS_S = 0.5
@@ -80,6 +83,7 @@
         super().__init__()
         self.name = name
         self.offset: int | None = None
+        self.wait_s = FIRST_READ_WAIT_S
         self.after = ""
         self.next_offset = 0
         self.oldest = 0
@@ -130,8 +134,9 @@
                 "newest", "GET", path, b"", now, CALL_TIMEOUT_S, topic.after
             )
         else:
-            path = read_path(topic.name, topic.offset, READ_WAIT_S)
-            timeout_s = READ_WAIT_S + READ_MARGIN_S
+            path = read_path(topic.name, topic.offset, topic.wait_s)
+            timeout_s = topic.wait_s + READ_MARGIN_S
+            topic.wait_s = min(READ_WAIT_S, topic.wait_s * 2)
             call = StoreCall("read", "GET", path, b"", now, timeout_s, topic.offset)
         self.send(topic, call)
 
@@ -154,6 +159,8 @@
 
     def on_failure(self, channel: StoreChannel, call: StoreCall, reason: str) -> None:
         """Note that the store gave no answer."""
+        if isinstance(channel, _Topic):
+            channel.wait_s = FIRST_READ_WAIT_S
         extra = {"call": call.kind, "reason": reason}
         if channel is self._topics[0] and self.reachable:
             self.reachable = False
