Compare grants by the target's present run time

Change: grants tell the present run time of the target, ages of running requests included; much slower ones are left out while another has a slot. The preference of repeatable requests for unproven targets is reverted.

--- a/src/heatherspur/dispatch/dispatcher.py
+++ b/src/heatherspur/dispatch/dispatcher.py
@@ -5,9 +5,10 @@
 zone, and uses one that is granted; a request body is sent once only. While nothing
 was granted a request has certainly not run and is refused truthfully.
 
-Of several grants a request that may run once only takes the target that gave a good
-answer most recently, since each moment since then may have turned it gray; one that
-can be repeated takes the target that was proven longest ago, and so tests it.
+Of several grants those of targets that are slow compared with the others are left
+out, and so is a grant that could not bring an answer in time while faster targets may
+soon have a slot. Of the rest a request that may run once only takes the target that
+gave a good answer most recently: each moment since then may have turned it gray.
 """
 
 import itertools
@@ -49,6 +50,10 @@
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 2.0
 NO_WAIT_KNOWN_MS = 60_000
+# Targets of one service differ in speed by less; single requests take five times the
+# usual, and a target is only passed over while another has a slot.
+SLOW_RATIO = 2.0
+SLOW_MARGIN_MS = 100
 
 
 class Finished(NamedTuple):
@@ -300,10 +305,30 @@
             return
         for number in opened.awaited_numbers:
             self._fleet.mark_slow(opened.nodes_by_number[number], now)
+        yield from self._leave_hopeless(opened, now)
+        if opened.grants_by_number:
+            number = self._best_grant(opened)
+            yield from self._execute(opened, number, now)
+
+    def _leave_hopeless(self, opened: _Open, now: float) -> Iterator[SendTo]:
+        """Give back slots of targets too slow to answer in time, if others may."""
+        if not opened.waits_by_number:
+            return
+        left_ms = (opened.request.timeout_at_s - now) * 1000
+        for number, grant in list(opened.grants_by_number.items()):
+            if grant.run_ms > left_ms:
+                del opened.grants_by_number[number]
+                del self._open_by_number[number]
+                yield SendTo(opened.nodes_by_number.pop(number), m.Withdraw(number))
+
+    def _best_grant(self, opened: _Open) -> int:
         grants = opened.grants_by_number
-        best = max if self._may_probe(opened) else min
-        number = best(grants, key=lambda n: grants[n].proven_ms)
-        yield from self._execute(opened, number, now)
+        fastest_ms = min(grant.run_ms for grant in grants.values())
+        limit_ms = fastest_ms * SLOW_RATIO + SLOW_MARGIN_MS
+        near = [n for n, grant in grants.items() if grant.run_ms <= limit_ms]
+        if opened.request.route.idempotent:
+            return near[0]
+        return min(near, key=lambda number: grants[number].proven_ms)
 
     def _execute(self, opened: _Open, chosen: int, now: float) -> Iterator[NamedTuple]:
         request = opened.request
--- a/src/heatherspur/dispatch/queue.py
+++ b/src/heatherspur/dispatch/queue.py
@@ -18,6 +18,8 @@
 # Until the first answers are in; typical of the users' services.
 DEFAULT_RUN_S = 0.3
 RUN_SMOOTHING = 0.1
+# Some requests are enough to notice that a target has turned slow, or recovered.
+RECENT_SMOOTHING = 0.3
 # Expected wait told while a target is doubtful: longer than most objectives.
 DOUBTFUL_WAIT_MS = 3000
 
@@ -89,6 +91,7 @@
         self._granted_by_key: dict[ReservationKey, float] = {}
         self._running_by_key: dict[ReservationKey, Running] = {}
         self._mean_run_s = DEFAULT_RUN_S
+        self._recent_run_s = DEFAULT_RUN_S
 
     @property
     def n_busy(self) -> int:
@@ -118,7 +121,18 @@
         yield from self.pump(now)
         if waiting.key in self._waiting_by_key:
             wait_ms = self._expected_wait_ms(waiting, now)
-            yield SlotReply(waiting.key, m.Queued(waiting.key.number, wait_ms))
+            queued = m.Queued(waiting.key.number, wait_ms, self._run_ms(now))
+            yield SlotReply(waiting.key, queued)
+
+    def _run_ms(self, now: float) -> int:
+        """Return the time that a request takes here at present.
+
+        A request that is running longer than usual shows that a target has turned
+        slow before it ends.
+        """
+        starts = (running.started_at_s for running in self._running_by_key.values())
+        oldest_s = now - min(starts, default=now)
+        return int(1000 * max(self._recent_run_s, oldest_s))
 
     def _expected_wait_ms(self, waiting: Waiting, now: float) -> int:
         if self.verdict.state == "doubtful":
@@ -144,9 +158,9 @@
             del self._waiting_by_key[waiting.key]
             self._granted_by_key[waiting.key] = now + GRANT_TIMEOUT_S
             proven_ms = int((now - self.verdict.proven_at_s) * 1000)
-            yield SlotReply(
-                waiting.key, m.Grant(waiting.key.number, proven_ms, self.process)
-            )
+            number, run_ms = waiting.key.number, self._run_ms(now)
+            grant = m.Grant(number, proven_ms, run_ms, self.process)
+            yield SlotReply(waiting.key, grant)
 
     def _next(self, now: float) -> Waiting | None:
         allowed = (
@@ -190,6 +204,8 @@
         if running is not None and ran:
             run_s = now - running.started_at_s
             self._mean_run_s += RUN_SMOOTHING * (run_s - self._mean_run_s)
+            recent_s = self._recent_run_s
+            self._recent_run_s += RECENT_SMOOTHING * (run_s - recent_s)
         yield from self.pump(now)
 
     def decline_all(self, reason: str) -> Iterator[SlotReply]:
--- a/src/heatherspur/dispatch/tests/test_queue.py
+++ b/src/heatherspur/dispatch/tests/test_queue.py
@@ -83,3 +83,10 @@
     assert _granted(queue.reserve(make_waiting(1, may_probe=False), 0.5)) == []
     assert _granted(queue.reserve(make_waiting(2), 0.5)) == [2]
     assert _granted(queue.reserve(make_waiting(3), 0.5)) == []
+
+
+def test_grants_tell_that_a_target_has_turned_slow_before_its_requests_end():
+    queue = make_queue(slots=2)
+    _fill(queue)
+    (reply,) = queue.reserve(make_waiting(2), 3.0)
+    assert reply.message.run_ms == 3000
--- a/src/heatherspur/link/reservations.py
+++ b/src/heatherspur/link/reservations.py
@@ -49,10 +49,12 @@
 
     :param number: Number of the reservation.
     :param wait_ms: Expected wait.
+    :param run_ms: Time that the target takes for a request at present.
     """
 
     number: int
     wait_ms: int
+    run_ms: int
 
 
 class Grant(NamedTuple):
@@ -60,11 +62,13 @@
 
     :param number: Number of the reservation.
     :param proven_ms: Time since the target last gave a good answer.
+    :param run_ms: Time that the target takes for a request at present.
     :param process: Random number that the exit's process drew at its start.
     """
 
     number: int
     proven_ms: int
+    run_ms: int
     process: int
 
 
