--- a/src/heatherspur/dispatch/dispatcher.py
+++ b/src/heatherspur/dispatch/dispatcher.py
@@ -6,9 +6,8 @@
 was granted a request has certainly not run and is refused truthfully.
 
 Of several grants those of targets that are slow compared with the others are left
-out, and so is a grant that could not bring an answer in time while faster targets may
-soon have a slot. Of the rest a request that may run once only takes the target that
-gave a good answer most recently: each moment since then may have turned it gray.
+out. Of the rest a request that may run once only takes the target that gave a good
+answer most recently: each moment since then may have turned it gray.
 """
 
 import itertools
@@ -39,11 +38,6 @@
 # Until the first answers are in; typical of the users' services.
 DEFAULT_RUN_S = 0.3
 RUN_SMOOTHING = 0.1
-# Waiting longer helps few requests in lasting overload, and keeps callers from
-# coming back; a shorter wait would refuse requests in short bursts.
-MAX_WAIT_OBJECTIVES = 1.25
-# A request that is repeated late still gets a fair chance.
-MIN_ROUND_OBJECTIVES = 0.25
 # A request whose answer can't come in time is refused before this share of its
 # time is over, so that its caller can still come back.
 MIN_START_MARGIN_S = 0.03
@@ -107,7 +101,6 @@
         self.grant: m.Grant | None = None
         self.awaited_numbers: set[int] = set()
         self.asked_at_s = now
-        self.round_at_s = now
         self.tried_nodes: set[str] = set()
         self.asked_nodes: set[str] = set()
         self.executing: int | None = None
@@ -134,6 +127,7 @@
         self._settings = settings
         self._rng = rng
         self._numbers = itertools.count(1)
+        self._stop_waiting_at_s = float("inf")
         self._open_by_exchange: dict[int, _Open] = {}
         self._open_by_number: dict[int, _Open] = {}
         self._budgets_by_service: dict[str, RepeatBudget] = {}
@@ -144,6 +138,13 @@
         """Number of requests without a final answer."""
         return len(self._open_by_exchange)
 
+    def stop_waiting(self, at_s: float) -> None:
+        """End all waiting for slots at some time, since the process ends after it.
+
+        :param at_s: Clock reading in seconds.
+        """
+        self._stop_waiting_at_s = at_s
+
     def open(self, request: Request, now: float) -> Iterator[NamedTuple]:
         """Take an admitted request.
 
@@ -251,7 +252,7 @@
                 return
         if opened.request.exchange not in self._open_by_exchange:
             return
-        if now + best_ms / 1000 > self._wait_until_s(opened):
+        if now + best_ms / 1000 > self._last_start_s(opened):
             yield from self._give_up(opened, "no-room", now)
 
     def _last_start_s(self, opened: _Open) -> float:
@@ -261,16 +262,6 @@
         total_s = request.timeout_at_s - request.opened_at_s
         return request.timeout_at_s - min(run_s, total_s / 2) - MIN_START_MARGIN_S
 
-    def _wait_until_s(self, opened: _Open) -> float:
-        """Return the clock reading at which waiting for a slot ends."""
-        request = opened.request
-        objective_s = request.route.objective_s
-        patience_at_s = max(
-            request.opened_at_s + objective_s * MAX_WAIT_OBJECTIVES,
-            opened.round_at_s + objective_s * MIN_ROUND_OBJECTIVES,
-        )
-        return min(self._last_start_s(opened), patience_at_s)
-
     @receive.register
     def _on_decline(self, message: m.Decline, node: str, now: float):
         opened = self._open_by_number.pop(message.number, None)
@@ -305,21 +296,8 @@
             return
         for number in opened.awaited_numbers:
             self._fleet.mark_slow(opened.nodes_by_number[number], now)
-        yield from self._leave_hopeless(opened, now)
-        if opened.grants_by_number:
-            number = self._best_grant(opened)
-            yield from self._execute(opened, number, now)
-
-    def _leave_hopeless(self, opened: _Open, now: float) -> Iterator[SendTo]:
-        """Give back slots of targets too slow to answer in time, if others may."""
-        if not opened.waits_by_number:
-            return
-        left_ms = (opened.request.timeout_at_s - now) * 1000
-        for number, grant in list(opened.grants_by_number.items()):
-            if grant.run_ms > left_ms:
-                del opened.grants_by_number[number]
-                del self._open_by_number[number]
-                yield SendTo(opened.nodes_by_number.pop(number), m.Withdraw(number))
+        number = self._best_grant(opened)
+        yield from self._execute(opened, number, now)
 
     def _best_grant(self, opened: _Open) -> int:
         grants = opened.grants_by_number
@@ -461,7 +439,6 @@
         ):
             yield from self._give_up(opened, "repeat-budget", now)
         else:
-            opened.round_at_s = now
             yield from self._ask(opened, now)
 
     def lose_node(self, node: str, now: float) -> Iterator[NamedTuple]:
@@ -542,10 +519,12 @@
                 yield from self._use_grant(opened, now)
             elif opened.resume_at_s is not None:
                 yield from self._resume(opened, now)
+            elif opened.executing is None and now >= self._stop_waiting_at_s:
+                yield from self._give_up(opened, "stopping", now)
             elif opened.executing is None and now >= opened.ask_more_at_s:
                 yield from self._ask(opened, now)
                 is_open = opened.request.exchange in self._open_by_exchange
-                if is_open and now >= self._wait_until_s(opened):
+                if is_open and now >= self._last_start_s(opened):
                     yield from self._give_up(opened, "no-room", now)
 
     def _give_up(self, opened: _Open, reason: str, now: float) -> Iterator[NamedTuple]:
--- a/src/heatherspur/dispatch/queue.py
+++ b/src/heatherspur/dispatch/queue.py
@@ -246,12 +246,6 @@
 
 
 def _rank(waiting: Waiting, now: float, run_s: float) -> tuple:
-    """Order reservations: calls, rank, those in time, then by objective.
-
-    Those in time go by the earliest objective. Of those that are late the last one
-    goes first: in lasting overload it is late by little, and the others are refused
-    soon instead of each being served at its very end.
-    """
+    """Order reservations: calls, rank, those in time, then the earliest objective."""
     is_late = now + run_s > waiting.objective_at_s
-    order = -waiting.objective_at_s if is_late else waiting.objective_at_s
-    return not waiting.inner, waiting.priority, is_late, order
+    return not waiting.inner, waiting.priority, is_late, waiting.objective_at_s
--- a/src/heatherspur/sidecar/entry.py
+++ b/src/heatherspur/sidecar/entry.py
@@ -274,6 +274,7 @@
     @handler("stop_node", channel="*")
     def _on_stop_node(self):
         self._stop_admitting_at_s = now_s() + STOP_ADMITTING_AFTER_S
+        self._dispatcher.stop_waiting(self._stop_admitting_at_s)
 
     @handler("caller_gone")
     def _on_caller_gone(self, exchange):
