--- a/src/heatherspur/dispatch/dispatcher.py
+++ b/src/heatherspur/dispatch/dispatcher.py
@@ -4,10 +4,6 @@
 travel. An entry therefore asks several exits for a slot, first those of its own
 zone, and uses one that is granted; a request body is sent once only. While nothing
 was granted a request has certainly not run and is refused truthfully.
-
-Of several grants those of targets that are slow compared with the others are left
-out. Of the rest a request that may run once only takes the target that gave a good
-answer most recently: each moment since then may have turned it gray.
 """
 
 import itertools
@@ -17,19 +13,15 @@
 from typing import NamedTuple
 
 from heatherspur.dispatch.budget import RepeatBudget
-from heatherspur.dispatch.conf import (
-    ASK_MORE_AFTER_S,
-    COLLECT_S,
-    MAX_ASKED,
-    N_REMOTE_A_ROUND,
-    RESUME_GAP_S,
-)
-from heatherspur.dispatch.fleet import FleetView, Member
+from heatherspur.dispatch.conf import ASK_MORE_AFTER_S, COLLECT_S, RESUME_GAP_S
+from heatherspur.dispatch.fleet import FleetView
+from heatherspur.dispatch.opened import Decided, Finished, OpenRequest
+from heatherspur.dispatch.placement import best_grant, choose_members
 from heatherspur.dispatch.types import FleetSettings, Request
 from heatherspur.exchange import SendTo
 from heatherspur.link import messages as m
 
-__all__ = ["Decided", "Dispatcher", "Finished"]
+__all__ = ["Dispatcher"]
 
 STATUS_SERVER_ERROR = 500
 STATUS_BAD_GATEWAY = 502
@@ -38,78 +30,14 @@
 # Until the first answers are in; typical of the users' services.
 DEFAULT_RUN_S = 0.3
 RUN_SMOOTHING = 0.1
-# A request whose answer can't come in time is refused before this share of its
-# time is over, so that its caller can still come back.
+# Two ways between zones and the reading of the answer, besides the run itself.
 MIN_START_MARGIN_S = 0.03
+# Callers come back on a new connection, which takes some milliseconds; most wait at
+# most a third of the time that they have left.
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 2.0
+# Stands for "no exit told a wait"; above every timeout.
 NO_WAIT_KNOWN_MS = 60_000
-# Targets of one service differ in speed by less; single requests take five times the
-# usual, and a target is only passed over while another has a slot.
-SLOW_RATIO = 2.0
-SLOW_MARGIN_MS = 100
-
-
-class Finished(NamedTuple):
-    """The final answer to a request.
-
-    :param exchange: Id of the exchange.
-    :param status: HTTP status code.
-    :param fields: Fields.
-    :param body: The body.
-    :param retry_after_s: When to come back, in seconds; 0 for no advice.
-    :param own: Whether it was made here instead of by a target.
-    """
-
-    exchange: int
-    status: int
-    fields: tuple[tuple[bytes, bytes], ...]
-    body: bytes
-    retry_after_s: float
-    own: bool
-
-
-class Decided(NamedTuple):
-    """A decision on a request, for the log.
-
-    :param request: The request.
-    :param action: Short phrase.
-    :param reason: Short name of the reason.
-    :param node: Node concerned, if one.
-    :param inputs: What decided it.
-    """
-
-    request: Request
-    action: str
-    reason: str
-    node: str
-    inputs: dict[str, float]
-
-
-class _Open:
-    """One request that has no final answer yet.
-
-    :param request: The request.
-    :param now: Clock reading in seconds.
-    """
-
-    def __init__(self, request: Request, now: float) -> None:
-        self.request = request
-        self.nodes_by_number: dict[int, str] = {}
-        self.waits_by_number: dict[int, int] = {}
-        self.grants_by_number: dict[int, m.Grant] = {}
-        self.grant: m.Grant | None = None
-        self.awaited_numbers: set[int] = set()
-        self.asked_at_s = now
-        self.tried_nodes: set[str] = set()
-        self.asked_nodes: set[str] = set()
-        self.executing: int | None = None
-        self.executed_at_s = 0.0
-        self.n_handed = 0
-        self.was_handed = False
-        self.ask_more_at_s = now
-        self.resume_at_s: float | None = None
-        self.fallback: m.Answer | None = None
 
 
 class Dispatcher:
@@ -128,8 +56,8 @@
         self._rng = rng
         self._numbers = itertools.count(1)
         self._stop_waiting_at_s = float("inf")
-        self._open_by_exchange: dict[int, _Open] = {}
-        self._open_by_number: dict[int, _Open] = {}
+        self._open_by_exchange: dict[int, OpenRequest] = {}
+        self._open_by_number: dict[int, OpenRequest] = {}
         self._budgets_by_service: dict[str, RepeatBudget] = {}
         self._run_s_by_service: dict[str, float] = {}
 
@@ -151,7 +79,7 @@
         :param request: The request.
         :param now: Clock reading in seconds.
         """
-        opened = _Open(request, now)
+        opened = OpenRequest(request, now)
         self._open_by_exchange[request.exchange] = opened
         self._budget(request.service, now).note_request()
         yield from self._ask(opened, now)
@@ -166,10 +94,10 @@
             self._budgets_by_service[service] = budget
         return budget
 
-    def _ask(self, opened: _Open, now: float) -> Iterator[NamedTuple]:
+    def _ask(self, opened: OpenRequest, now: float) -> Iterator[NamedTuple]:
         """Ask the exits of the own zone at first, then some of the others."""
         request = opened.request
-        members = list(self._choose(opened, now))
+        members = choose_members(opened, self._fleet, self._rng, now)
         n_asked = len(opened.nodes_by_number) + len(members)
         for member in members:
             number = next(self._numbers)
@@ -197,27 +125,10 @@
         if not opened.nodes_by_number and opened.executing is None:
             yield from self._give_up(opened, "no-target", now)
 
-    def _may_probe(self, opened: _Open) -> bool:
+    def _may_probe(self, opened: OpenRequest) -> bool:
         route = opened.request.route
         return route.idempotent and opened.n_handed + 1 < route.max_targets
 
-    def _choose(self, opened: _Open, now: float) -> Iterator[Member]:
-        excluded = opened.tried_nodes | opened.asked_nodes
-        members = [
-            member
-            for member in self._fleet.candidates(opened.request.service, now)
-            if member.node not in excluded
-        ]
-        self._rng.shuffle(members)
-        zone = self._fleet.zone
-        near = [member for member in members if member.zone == zone]
-        room = MAX_ASKED - len(opened.nodes_by_number)
-        if near:
-            yield from near[:room]
-            return
-        far = [member for member in members if member.zone != zone]
-        yield from far[: min(room, N_REMOTE_A_ROUND)]
-
     @singledispatchmethod
     def receive(
         self, message: m.Message, node: str, now: float
@@ -242,7 +153,7 @@
         elif len(opened.waits_by_number) == len(opened.nodes_by_number):
             yield from self._review(opened, now)
 
-    def _review(self, opened: _Open, now: float) -> Iterator[NamedTuple]:
+    def _review(self, opened: OpenRequest, now: float) -> Iterator[NamedTuple]:
         """Ask more exits, or refuse a request that can't be served in time."""
         best_ms = min(opened.waits_by_number.values(), default=NO_WAIT_KNOWN_MS)
         if best_ms > ASK_MORE_AFTER_S * 1000:
@@ -255,7 +166,7 @@
         if now + best_ms / 1000 > self._last_start_s(opened):
             yield from self._give_up(opened, "no-room", now)
 
-    def _last_start_s(self, opened: _Open) -> float:
+    def _last_start_s(self, opened: OpenRequest) -> float:
         """Return the clock reading after which no answer can come in time."""
         request = opened.request
         run_s = self._run_s_by_service.get(request.service, DEFAULT_RUN_S)
@@ -290,25 +201,18 @@
         opened.awaited_numbers.discard(message.number)
         yield from self._use_grant(opened, now)
 
-    def _use_grant(self, opened: _Open, now: float) -> Iterator[NamedTuple]:
+    def _use_grant(self, opened: OpenRequest, now: float) -> Iterator[NamedTuple]:
         """Send the request, once the exits nearby had time to answer."""
         if opened.awaited_numbers and now < opened.asked_at_s + COLLECT_S:
             return
         for number in opened.awaited_numbers:
             self._fleet.mark_slow(opened.nodes_by_number[number], now)
-        number = self._best_grant(opened)
+        number = best_grant(opened)
         yield from self._execute(opened, number, now)
 
-    def _best_grant(self, opened: _Open) -> int:
-        grants = opened.grants_by_number
-        fastest_ms = min(grant.run_ms for grant in grants.values())
-        limit_ms = fastest_ms * SLOW_RATIO + SLOW_MARGIN_MS
-        near = [n for n, grant in grants.items() if grant.run_ms <= limit_ms]
-        if opened.request.route.idempotent:
-            return near[0]
-        return min(near, key=lambda number: grants[number].proven_ms)
-
-    def _execute(self, opened: _Open, chosen: int, now: float) -> Iterator[NamedTuple]:
+    def _execute(
+        self, opened: OpenRequest, chosen: int, now: float
+    ) -> Iterator[NamedTuple]:
         request = opened.request
         node = opened.nodes_by_number[chosen]
         opened.grant = opened.grants_by_number[chosen]
@@ -356,7 +260,7 @@
             )
 
     def _on_not_executed(
-        self, opened: _Open, node: str, reason: str, reached: bool, now: float
+        self, opened: OpenRequest, node: str, reason: str, reached: bool, now: float
     ) -> Iterator[NamedTuple]:
         opened.executing = None
         if not reached:
@@ -371,7 +275,7 @@
             yield from self._lose(opened, node, message.reason, now)
 
     def _lose(
-        self, opened: _Open, node: str, reason: str, now: float
+        self, opened: OpenRequest, node: str, reason: str, now: float
     ) -> Iterator[NamedTuple]:
         """Handle a request that may have run and brought no usable answer."""
         opened.executing = None
@@ -403,7 +307,7 @@
         yield from self._deliver(opened, message, now)
 
     def _deliver(
-        self, opened: _Open, answer: m.Answer, now: float
+        self, opened: OpenRequest, answer: m.Answer, now: float
     ) -> Iterator[NamedTuple]:
         request = opened.request
         self._forget(opened)
@@ -417,7 +321,7 @@
             request.exchange, answer.status, answer.fields, answer.body, 0.0, False
         )
 
-    def _take_executing(self, number: int) -> _Open | None:
+    def _take_executing(self, number: int) -> OpenRequest | None:
         opened = self._open_by_number.get(number)
         if opened is None or opened.executing != number:
             return None
@@ -427,7 +331,7 @@
         return opened
 
     def _repeat(
-        self, opened: _Open, reason: str, counts: bool, now: float
+        self, opened: OpenRequest, reason: str, counts: bool, now: float
     ) -> Iterator[NamedTuple]:
         """Ask for another slot, if attempts, time and the repeat budget allow it."""
         request = opened.request
@@ -471,7 +375,7 @@
             elif opened.executing is None and not opened.nodes_by_number:
                 yield from self._ask(opened, now)
 
-    def _resume(self, opened: _Open, now: float) -> Iterator[NamedTuple]:
+    def _resume(self, opened: OpenRequest, now: float) -> Iterator[NamedTuple]:
         """Ask the exit over a new link what became of a request."""
         if now < opened.resume_at_s:
             return
@@ -496,11 +400,11 @@
         inputs = {"waited_ms": waited_ms}
         yield Decided(opened.request, "cancelled", "caller-gone", "", inputs)
 
-    def _withdraw_all(self, opened: _Open) -> Iterator[SendTo]:
+    def _withdraw_all(self, opened: OpenRequest) -> Iterator[SendTo]:
         for number, node in opened.nodes_by_number.items():
             yield SendTo(node, m.Withdraw(number))
 
-    def _forget(self, opened: _Open) -> None:
+    def _forget(self, opened: OpenRequest) -> None:
         self._open_by_exchange.pop(opened.request.exchange, None)
         for number in opened.nodes_by_number:
             self._open_by_number.pop(number, None)
@@ -527,7 +431,9 @@
                 if is_open and now >= self._last_start_s(opened):
                     yield from self._give_up(opened, "no-room", now)
 
-    def _give_up(self, opened: _Open, reason: str, now: float) -> Iterator[NamedTuple]:
+    def _give_up(
+        self, opened: OpenRequest, reason: str, now: float
+    ) -> Iterator[NamedTuple]:
         """Give the final answer when no target gave one."""
         request = opened.request
         yield from self._withdraw_all(opened)
@@ -557,7 +463,7 @@
         body = f"outcome unknown: {reason}\n".encode()
         yield Finished(request.exchange, status, (), body, 0.0, True)
 
-    def _retry_after_s(self, opened: _Open) -> float:
+    def _retry_after_s(self, opened: OpenRequest) -> float:
         """Return when room is expected, spread over those who come back."""
         best_ms = min(opened.waits_by_number.values(), default=0)
         expected_s = max(MIN_RETRY_AFTER_S, best_ms / 1000 / 2)
--- /dev/null
+++ b/src/heatherspur/dispatch/placement.py
@@ -0,0 +1,61 @@
+"""Chooses the exits to ask for a slot, and the grant to use.
+
+Load pattern: bytes between zones are dear and targets of the own zone are mostly
+enough, but a zone can run out of slots while others have some; some targets are slow
+or have just turned gray.
+"""
+
+import random
+
+from heatherspur.dispatch.conf import MAX_ASKED, N_REMOTE_A_ROUND
+from heatherspur.dispatch.fleet import FleetView, Member
+from heatherspur.dispatch.opened import OpenRequest
+
+__all__ = ["best_grant", "choose_members"]
+
+# Targets of one service differ in speed by less; single requests take five times the
+# usual, and a target is only passed over while another has a slot.
+SLOW_RATIO = 2.0
+SLOW_MARGIN_MS = 100
+
+
+def choose_members(
+    opened: OpenRequest, fleet: FleetView, rng: random.Random, now: float
+) -> list[Member]:
+    """Return the members to ask next: the own zone first, then a few others.
+
+    :param opened: The request.
+    :param fleet: Members and their reachability.
+    :param rng: Source of the order.
+    :param now: Clock reading in seconds.
+    """
+    excluded = opened.tried_nodes | opened.asked_nodes
+    members = [
+        member
+        for member in fleet.candidates(opened.request.service, now)
+        if member.node not in excluded
+    ]
+    rng.shuffle(members)
+    room = MAX_ASKED - len(opened.nodes_by_number)
+    near = [member for member in members if member.zone == fleet.zone]
+    if near:
+        return near[:room]
+    return members[: min(room, N_REMOTE_A_ROUND)]
+
+
+def best_grant(opened: OpenRequest) -> int:
+    """Return the number of the granted reservation to use.
+
+    Targets that are slow compared with the others are passed over. Of the rest a
+    request that may run once only takes the target that gave a good answer most
+    recently: each moment since then may have turned it gray.
+
+    :param opened: The request; it has a grant.
+    """
+    grants = opened.grants_by_number
+    fastest_ms = min(grant.run_ms for grant in grants.values())
+    limit_ms = fastest_ms * SLOW_RATIO + SLOW_MARGIN_MS
+    usual = [n for n, grant in grants.items() if grant.run_ms <= limit_ms]
+    if opened.request.route.idempotent:
+        return usual[0]
+    return min(usual, key=lambda number: grants[number].proven_ms)
--- a/src/heatherspur/dispatch/tests/test_dispatcher.py
+++ b/src/heatherspur/dispatch/tests/test_dispatcher.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from heatherspur.dispatch.dispatcher import Finished
+from heatherspur.dispatch.opened import Finished
 from heatherspur.dispatch.tests.builders import (
     make_dispatcher,
     make_member,
--- a/src/heatherspur/dispatch/tests/test_history.py
+++ b/src/heatherspur/dispatch/tests/test_history.py
@@ -1,7 +1,7 @@
 """Requests whose link was lost while they were on their way or at a target."""
 
-from heatherspur.dispatch.dispatcher import Finished
 from heatherspur.dispatch.history import RequestHistory, RequestName
+from heatherspur.dispatch.opened import Finished
 from heatherspur.dispatch.tests.builders import (
     make_dispatcher,
     make_member,
--- a/src/heatherspur/sidecar/entry.py
+++ b/src/heatherspur/sidecar/entry.py
@@ -10,8 +10,9 @@
 
 from heatherspur.core import now_s
 from heatherspur.dispatch import Customer, FleetSettings, Request, RoutingTable
-from heatherspur.dispatch.dispatcher import Decided, Dispatcher, Finished
+from heatherspur.dispatch.dispatcher import Dispatcher
 from heatherspur.dispatch.fleet import FleetView
+from heatherspur.dispatch.opened import Decided, Finished
 from heatherspur.dispatch.quota import Admitted, OverLimit, QuotaClient, QuotaOwner
 from heatherspur.dispatch.split import WeightedSplit
 from heatherspur.exchange import ReplyBody, ReplyEnd, ReplyHead, SendTo
--- a/src/heatherspur/sidecar/metrics.py
+++ b/src/heatherspur/sidecar/metrics.py
@@ -5,7 +5,7 @@
 from aioprometheus import Counter as CounterMetric
 from aioprometheus import Gauge, Histogram, Registry, render
 
-from heatherspur.dispatch.dispatcher import Decided
+from heatherspur.dispatch.opened import Decided
 
 __all__ = ["SidecarMetrics"]
 
