--- a/src/heatherspur/node/app.py
+++ b/src/heatherspur/node/app.py
@@ -6,7 +6,7 @@
 import signal as signals
 from typing import Any
 
-from circuits import BaseComponent, handler
+from circuits import handler
 from circuits.core.pollers import EPoll
 
 from heatherspur.catalogue import Keeper, NodeRecord, new_change_id, node_leave
@@ -25,7 +25,7 @@
 from heatherspur.node.exit import ExitTask
 from heatherspur.node.limits import LimitsTask
 from heatherspur.node.members import MembersTask
-from heatherspur.ops import NodeMetrics, OpsServer, write_deferred_logs
+from heatherspur.ops import NodeLoop, NodeMetrics, OpsServer
 from heatherspur.platform import LogHub, append
 from heatherspur.replay import TraceWriter, record
 from heatherspur.routing import Chooser, RetryBudget
@@ -33,7 +33,6 @@
 __all__ = ["NodeApp"]
 
 TICK_S = 0.1
-MAX_STEPS_BETWEEN_POLLS = 64
 INCARNATION_BYTES = 8
 MIN_STOP_S = 2.5
 LEAVE_WAIT_S = 1.0
@@ -42,7 +41,7 @@
 logger = logging.getLogger("heatherspur.node")
 
 
-class NodeApp(BaseComponent):
+class NodeApp(NodeLoop):
     """One node.
 
     :param settings: Settings of the node.
@@ -127,21 +126,6 @@
             settings.membership.heartbeat_s,
         ).register(self)
 
-    def tick(self, timeout: float = -1) -> None:
-        """Run the queued events, then wait for new ones.
-
-        circuits would poll the sockets before each step of a chain of events; a
-        request passes through about ten.
-
-        :param timeout: Longest wait in seconds; negative for no limit.
-        """
-        for _ in range(MAX_STEPS_BETWEEN_POLLS):
-            if not len(self._queue):
-                break
-            self.flush()
-        write_deferred_logs()
-        super().tick(timeout)
-
     @handler("started", channel="*")
     def _on_started(self, *_):
         settings = self._settings
@@ -192,12 +176,6 @@
             logger.info("node: stopped", extra={"work_in_hand": self._n_open})
             raise SystemExit(0)
 
-    @handler("exception", channel="*")
-    def _on_exception(self, error_type, value, traceback, handler=None, fevent=None):
-        extra = {"step": str(fevent), "reason": f"{error_type.__name__}: {value}"}
-        lines = "".join(traceback) if isinstance(traceback, list) else str(traceback)
-        logger.error("node: internal error", extra={**extra, "traceback": lines})
-
     def status(self) -> dict[str, Any]:
         """Return what operators may want to know of this node."""
         now = now_s()
--- a/src/heatherspur/ops/__init__.py
+++ b/src/heatherspur/ops/__init__.py
@@ -1,7 +1,14 @@
 """What operators see of a node: structured logs, metrics and status."""
 
 from heatherspur.ops.logs import configure_logs, write_deferred_logs
+from heatherspur.ops.loop import NodeLoop
 from heatherspur.ops.metrics import NodeMetrics
 from heatherspur.ops.web import OpsServer
 
-__all__ = ["NodeMetrics", "OpsServer", "configure_logs", "write_deferred_logs"]
+__all__ = [
+    "NodeLoop",
+    "NodeMetrics",
+    "OpsServer",
+    "configure_logs",
+    "write_deferred_logs",
+]
--- a/src/heatherspur/sidecar/app.py
+++ b/src/heatherspur/sidecar/app.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 import cbor2
-from circuits import BaseComponent, handler
+from circuits import handler
 from circuits.core.events import signal as signal_event
 from circuits.core.pollers import EPoll
 
@@ -19,7 +19,7 @@
 from heatherspur.net import Ticker
 from heatherspur.node import events as node_events
 from heatherspur.node.callers import CallerFront
-from heatherspur.ops import write_deferred_logs
+from heatherspur.ops import NodeLoop
 from heatherspur.platform import KeyedHub, KeyedRecord, put_record
 from heatherspur.platform.wire import (
     CONFIG_KEY,
@@ -39,7 +39,6 @@
 # Finest time at which waiting requests are looked after; a fifth of the shortest
 # objective.
 TICK_S = 0.05
-MAX_STEPS_BETWEEN_POLLS = 64
 MEMBERS_TOPIC = "keyed.members"
 # Until the configuration tells the limits on callers.
 FIRST_HTTP = HttpSettings(16384, 3.0, 15.0, 3000)
@@ -54,7 +53,7 @@
 logger = logging.getLogger("heatherspur.node")
 
 
-class SidecarApp(BaseComponent):
+class SidecarApp(NodeLoop):
     """One node.
 
     :param settings: Settings of the platform.
@@ -93,18 +92,6 @@
         for hub in (self._hub, self._front, self._exit, self._control, self._store):
             hub.attach(poller)
 
-    def tick(self, timeout: float = -1) -> None:
-        """Run the queued events, then wait for new ones.
-
-        :param timeout: Longest wait in seconds; negative for no limit.
-        """
-        for _ in range(MAX_STEPS_BETWEEN_POLLS):
-            if not len(self._queue):
-                break
-            self.flush()
-        write_deferred_logs()
-        super().tick(timeout)
-
     @handler("started", channel="*")
     def _on_started(self, *_):
         # circuits itself takes only the signals that end a process.
@@ -273,12 +260,6 @@
         if size != len(self._data):
             self._reload("file")
 
-    @handler("exception", channel="*")
-    def _on_exception(self, error_type, value, traceback, handler=None, fevent=None):
-        extra = {"step": str(fevent), "reason": f"{error_type.__name__}: {value}"}
-        lines = "".join(traceback) if isinstance(traceback, list) else str(traceback)
-        logger.error("node: internal error", extra={**extra, "traceback": lines})
-
     def _render(self) -> tuple[bytes, str]:
         now = now_s()
         counts = {
