--- a/src/heatherspur/dispatch/queue.py
+++ b/src/heatherspur/dispatch/queue.py
@@ -121,7 +121,7 @@
         yield from self.pump(now)
         if waiting.key in self._waiting_by_key:
             wait_ms = self._expected_wait_ms(waiting, now)
-            queued = m.Queued(waiting.key.number, wait_ms)
+            queued = m.Queued(waiting.key.number, wait_ms, self._run_ms(now))
             yield SlotReply(waiting.key, queued)
 
     def _run_ms(self, now: float) -> int:
--- a/src/heatherspur/dispatch/tests/test_dispatcher.py
+++ b/src/heatherspur/dispatch/tests/test_dispatcher.py
@@ -36,7 +36,7 @@
     number, node = asked[0].message.number, asked[0].node
     granted = list(dispatcher.receive(m.Grant(number, 0, 300, 5), node, now))
     for other in asked[1:]:
-        queued = m.Queued(other.message.number, 10)
+        queued = m.Queued(other.message.number, 10, 300)
         granted += dispatcher.receive(queued, other.node, now)
     assert len(_sent(granted, m.Execute)) == 1
     return number, node
@@ -51,7 +51,7 @@
 def test_asks_other_zones_when_the_own_has_no_room():
     dispatcher = make_dispatcher(make_member(2, "b"), make_member(3))
     asked = _sent(dispatcher.open(make_request(), 0.0), m.Reserve)
-    queued = m.Queued(asked[0].message.number, 500)
+    queued = m.Queued(asked[0].message.number, 500, 300)
     more = _sent(dispatcher.receive(queued, asked[0].node, 0.01), m.Reserve)
     assert [a.node for a in more] == ["10.0.0.2:80"]
 
@@ -164,7 +164,7 @@
 def test_hopeless_request_is_refused_at_once():
     dispatcher = make_dispatcher(make_member(2))
     asked = _sent(dispatcher.open(make_request(), 0.0), m.Reserve)
-    queued = m.Queued(asked[0].message.number, 9000)
+    queued = m.Queued(asked[0].message.number, 9000, 300)
     finished = _finished(dispatcher.receive(queued, asked[0].node, 0.01))
     assert finished.status == 503
     assert finished.retry_after_s > 0
--- a/src/heatherspur/link/reservations.py
+++ b/src/heatherspur/link/reservations.py
@@ -49,10 +49,12 @@
 
     :param number: Number of the reservation.
     :param wait_ms: Expected wait.
+    :param run_ms: Time that the target takes for a request at present.
     """
 
     number: int
     wait_ms: int
+    run_ms: int
 
 
 class Grant(NamedTuple):
--- a/src/heatherspur/sidecar/app.py
+++ b/src/heatherspur/sidecar/app.py
@@ -29,7 +29,7 @@
 )
 from heatherspur.sidecar.control import ControlServer
 from heatherspur.sidecar.entry import SidecarEntry
-from heatherspur.sidecar.events import table_changed
+from heatherspur.sidecar.events import fleet_changed, table_changed
 from heatherspur.sidecar.exit import SidecarExit
 from heatherspur.sidecar.links import SidecarLinkHub, SidecarLinks
 from heatherspur.sidecar.metrics import SidecarMetrics
@@ -159,6 +159,7 @@
             else:
                 self._fleet.put(host, member)
         self._members_known = True
+        self.fire(fleet_changed(), "*")
         self._announce()
 
     @handler("target_heard", channel="*")
--- a/src/heatherspur/sidecar/events.py
+++ b/src/heatherspur/sidecar/events.py
@@ -2,7 +2,7 @@
 
 from circuits import Event
 
-__all__ = ["table_changed", "target_heard"]
+__all__ = ["fleet_changed", "table_changed", "target_heard"]
 
 
 class table_changed(Event):  # noqa: N801 - circuits names events in lower case
@@ -12,6 +12,10 @@
     """
 
 
+class fleet_changed(Event):  # noqa: N801
+    """The records of other nodes changed."""
+
+
 class target_heard(Event):  # noqa: N801
     """The target beside this node reported a change of its state.
 
