Pass the store's records on inside an availability zone

Cause: each node read the store itself. Ruled out: shorter reads at every node (price), records between zones (price of bytes). Change: one node of a zone reads, the others get its records over links of the zone; beats say whether it still hears the store; readers of all zones tell each other how far the configuration's topic goes. Whoever hears nothing, or misses records that others have read, reads the store itself. A node that starts while the store is away is fed too. Records merge by key and offset, so none goes back. Tests: feed/tests.

--- a/src/heatherspur/dispatch/fleet.py
+++ b/src/heatherspur/dispatch/fleet.py
@@ -71,6 +71,22 @@
         known = {member.node for member in self.members_by_host.values()}
         return sorted(n for n in known | {self.me} if not self.is_down(n, now))
 
+    def nodes_by_zone(self, now: float) -> dict[str, list[str]]:
+        """Return the nodes that answer, this one included, by availability zone.
+
+        :param now: Clock reading in seconds.
+        """
+        zones_by_node = {
+            member.node: member.zone
+            for member in self.members_by_host.values()
+            if not self.is_down(member.node, now)
+        }
+        zones_by_node[self.me] = self.zone
+        nodes_by_zone: dict[str, list[str]] = {}
+        for node, zone in sorted(zones_by_node.items()):
+            nodes_by_zone.setdefault(zone, []).append(node)
+        return nodes_by_zone
+
     @property
     def n_nodes(self) -> int:
         """Number of nodes known."""
@@ -92,12 +108,12 @@
             if is_due and not self.is_down(member.node, now):
                 yield member
 
-    def knows(self, service: str) -> bool:
-        """Tell whether any host runs a service.
+    def n_targets(self, service: str) -> int:
+        """Return the number of known targets of a service, ready or not.
 
         :param service: Name of the service.
         """
-        return any(m.service == service for m in self.members_by_host.values())
+        return sum(m.service == service for m in self.members_by_host.values())
 
     def is_down(self, node: str, now: float) -> bool:
         """Tell whether a node did not answer a moment ago.
--- /dev/null
+++ b/src/heatherspur/feed/conf.py
@@ -0,0 +1,13 @@
+"""Fixed figures of the feed subpackage, in seconds unless stated otherwise."""
+
+__all__ = ["BEAT_S", "CATCH_UP_S", "MAX_FED", "SILENT_S"]
+
+# Nodes fed by one node; at two and a half beats a second they cost it about 1% of a
+# core.
+MAX_FED = 32
+BEAT_S = 0.4
+# Two beats and a half; with a read it stays below the bound on configuration, 2 s.
+SILENT_S = 1.0
+# Records that a node has heard of arrive within two ways between zones; later ones
+# are stuck.
+CATCH_UP_S = 0.3
--- /dev/null
+++ b/src/heatherspur/feed/tests/builders.py
@@ -0,0 +1,16 @@
+"""Builders of test data for the feed."""
+
+from heatherspur.platform import KeyedRecord
+
+ZONES = ("a", "b", "c")
+
+
+def make_nodes(n_zones: int = 3, n_a_zone: int = 6) -> dict[str, list[str]]:
+    return {
+        zone: [f"10.{i}.0.{j}:80" for j in range(n_a_zone)]
+        for i, zone in enumerate(ZONES[:n_zones])
+    }
+
+
+def make_record(key: str, offset: int, value: bytes = b"x") -> KeyedRecord:
+    return KeyedRecord(key, value, offset)
--- /dev/null
+++ b/src/heatherspur/feed/tests/test_feed.py
@@ -0,0 +1,102 @@
+"""Records passed on inside a zone: complete, never back, and from somebody alive."""
+
+import itertools
+import random
+
+import pytest
+
+from heatherspur.feed import FeedPlan, Follower, TopicRecords
+from heatherspur.feed.conf import CATCH_UP_S, MAX_FED, SILENT_S
+from heatherspur.feed.tests.builders import make_nodes, make_record
+
+CONFIG_BOUND_S = 2.0
+
+
+def _plans(nodes_by_zone) -> dict[str, FeedPlan]:
+    plans = {}
+    for zone, nodes in nodes_by_zone.items():
+        for node in nodes:
+            plans[node] = FeedPlan(node, zone)
+            plans[node].update(nodes_by_zone)
+    return plans
+
+
+@pytest.mark.parametrize(("n_zones", "n_a_zone"), [(3, 6), (1, 27), (2, 100), (3, 1)])
+def test_each_node_is_a_feeder_or_fed_by_one_of_its_zone(n_zones, n_a_zone):
+    nodes_by_zone = make_nodes(n_zones, n_a_zone)
+    plans = _plans(nodes_by_zone)
+    for nodes in nodes_by_zone.values():
+        fed = [fed for node in nodes for fed in plans[node].fed_nodes]
+        feeders = [node for node in nodes if plans[node].is_feeder]
+        assert sorted(fed + feeders) == sorted(nodes)
+        assert len(feeders) <= 1 + n_a_zone // MAX_FED + (n_zones == 1)
+
+
+def test_there_are_two_readers_even_with_one_zone():
+    plans = _plans(make_nodes(n_zones=1))
+    assert sum(plan.is_feeder for plan in plans.values()) == 2
+
+
+def test_lost_feeder_is_replaced():
+    nodes_by_zone = make_nodes()
+    (feeder,) = (n for n in nodes_by_zone["a"] if _plans(nodes_by_zone)[n].is_feeder)
+    rest = {**nodes_by_zone, "a": [n for n in nodes_by_zone["a"] if n != feeder]}
+    assert sum(_plans(rest)[node].is_feeder for node in rest["a"]) == 1
+
+
+def test_merge_takes_the_highest_offset_in_any_order():
+    records = [make_record("k", i, str(i).encode()) for i in range(5)]
+    for order in itertools.permutations(records):
+        topic = TopicRecords()
+        for record in order:
+            topic.merge([record], record.offset + 1, False)
+        assert topic.since(0) == (records[-1],)
+        assert topic.next_offset == 5
+
+
+def test_whole_topic_drops_keys_that_are_gone_and_an_older_one_does_not():
+    topic = TopicRecords()
+    topic.merge([make_record("a", 1), make_record("b", 2)], 3, True)
+    assert topic.merge([make_record("a", 1)], 2, True) == {}
+    assert topic.merge([make_record("a", 1)], 4, True) == {"b": b""}
+
+
+def test_neighbour_that_gets_what_is_new_ends_with_the_same_records():
+    rng = random.Random(5)
+    mine, theirs = TopicRecords(), TopicRecords()
+    mine.merge([], 0, True)
+    sent = 0
+    for offset in range(200):
+        record = make_record(rng.choice("abcdef"), offset, rng.randbytes(2))
+        mine.merge([record], offset + 1, False)
+        if rng.random() < 0.3:
+            theirs.merge(mine.since(sent), mine.next_offset, sent == 0)
+            sent = mine.next_offset
+    theirs.merge(mine.since(sent), mine.next_offset, False)
+    assert set(theirs.since(0)) == set(mine.since(0))
+
+
+def test_silent_feeder_is_given_up_within_the_bound_on_configuration():
+    follower = Follower()
+    follower.hear_beat(True, 10.0)
+    assert follower.is_fed(10.0 + SILENT_S / 2)
+    assert not follower.is_fed(10.0 + SILENT_S)
+    assert SILENT_S < CONFIG_BOUND_S
+
+
+def test_feeder_that_lost_the_store_is_given_up_at_once():
+    follower = Follower()
+    follower.hear_beat(True, 10.0)
+    follower.hear_beat(False, 10.1)
+    assert not follower.is_fed(10.1)
+
+
+def test_records_that_others_have_read_are_missed_soon():
+    follower = Follower()
+    follower.hear_beat(True, 10.0)
+    follower.hear_end(5)
+    assert not follower.is_stuck(4, 10.0)
+    assert follower.is_fed(10.1)
+    assert follower.is_stuck(4, 10.0 + CATCH_UP_S)
+    assert not follower.is_fed(10.1 + CATCH_UP_S)
+    assert not follower.is_stuck(5, 10.5)
--- a/src/heatherspur/link/hub.py
+++ b/src/heatherspur/link/hub.py
@@ -60,6 +60,9 @@
     m.NotRun: "entry",
     m.Failed: "entry",
     m.Answer: "entry",
+    m.FeedRecords: "feed",
+    m.FeedBeat: "feed",
+    m.FeedEnd: "feed",
 }
 
 log = logging.getLogger("heatherspur.link")
--- a/src/heatherspur/link/messages.py
+++ b/src/heatherspur/link/messages.py
@@ -7,6 +7,7 @@
 
 from typing import NamedTuple
 
+from heatherspur.link.news import FeedBeat, FeedEnd, FeedRecords
 from heatherspur.link.reservations import (
     Answer,
     Decline,
@@ -29,6 +30,9 @@
     "Execute",
     "Failed",
     "Failure",
+    "FeedBeat",
+    "FeedEnd",
+    "FeedRecords",
     "Grant",
     "Heartbeat",
     "Hello",
@@ -325,8 +329,8 @@
     :param share: Index of the share.
     :param customer: Customer id.
     :param amount: Tokens lent; may be 0.
-    :param wait_ms: Expected wait until a token is there, in milliseconds; 0 where
-        the node asked may not lend now.
+    :param wait_ms: Time until the tokens lent may be used, or until one is expected
+        where none is lent, in milliseconds; 0 where the node asked may not lend now.
     """
 
     loan: int
@@ -445,6 +449,9 @@
     | Failed
     | Answer
     | Resume
+    | FeedRecords
+    | FeedBeat
+    | FeedEnd
 )
 
 CODES: dict[type, int] = {
@@ -482,4 +489,7 @@
     Failed: 67,
     Answer: 68,
     Resume: 69,
+    FeedRecords: 80,
+    FeedBeat: 81,
+    FeedEnd: 82,
 }
--- /dev/null
+++ b/src/heatherspur/link/news.py
@@ -0,0 +1,41 @@
+"""Messages by which nodes pass the store's records on."""
+
+from typing import NamedTuple
+
+__all__ = ["FeedBeat", "FeedEnd", "FeedRecords"]
+
+
+class FeedRecords(NamedTuple):
+    """Newest records of a topic.
+
+    :param topic: Name of the topic.
+    :param since: Offset from which on they are complete; 0 if they are the newest
+        records of all keys.
+    :param next_offset: Offset up to which the topic is known with them.
+    :param records: Key, value and offset of each; an empty value drops the key.
+    """
+
+    topic: str
+    since: int
+    next_offset: int
+    records: tuple[tuple[str, bytes, int], ...]
+
+
+class FeedBeat(NamedTuple):
+    """Sign of life of a node that feeds its neighbours.
+
+    :param reads_store: Whether it gets answers from the store.
+    :param known_end: How far the configuration's topic goes, as far as it knows.
+    """
+
+    reads_store: bool
+    known_end: int
+
+
+class FeedEnd(NamedTuple):
+    """Tells readers of the store how far the configuration's topic goes.
+
+    :param next_offset: Offset after the last record.
+    """
+
+    next_offset: int
--- a/src/heatherspur/platform/keyed.py
+++ b/src/heatherspur/platform/keyed.py
@@ -27,16 +27,17 @@
 
 CONNECT_TIMEOUT_S = 1.0
 CALL_TIMEOUT_S = 2.0
-# The store allows 30 s. Each read is priced, and a silent connection is noticed by
-# the keepalive.
-READ_WAIT_S = 25.0
-READ_MARGIN_S = 2.0
+# The store allows 30 s, but an answer can get lost on a connection that stays open,
+# and only the end of the wait shows it. With the margin this is about the time after
+# which the store counts as stable again.
+READ_WAIT_S = 3.0
+READ_MARGIN_S = 1.0
 # The first reads after a start or an outage are short: a read that the store took
 # while a record was being written may not be woken by it.
 FIRST_READ_WAIT_S = 0.5
 # Records that come in quick succession are read together; well below the bound
 # on configuration, which is 2 s.
-PAUSE_AFTER_RECORDS_S = 0.5
+PAUSE_AFTER_RECORDS_S = 0.25
 # After an outage nodes are back within the 2 s that the store's users count on;
 # refused calls are priced too.
 MIN_RETRY_S = 0.3
@@ -51,6 +52,7 @@
 
     :param topic: Name of the topic.
     :param records: The records, oldest first.
+    :param next_offset: Offset up to which the topic is known with them.
     :param is_whole: Whether they are the newest records of all keys, so that keys
         that are missing are gone.
     """
@@ -107,12 +109,58 @@
         self._unwritten: dict[tuple[str, str], KeyedRecord] = {}
         self._rng = random.Random()
         self.reachable = False
+        self._paused = False
 
     @property
     def idle(self) -> bool:
         """Whether every record is written."""
         return not self._unwritten
 
+    @property
+    def reads_itself(self) -> bool:
+        """Whether the newest records come from the store itself."""
+        return self.reachable and not self._paused
+
+    def pause(self, paused: bool) -> None:
+        """Stop reading while a neighbour passes the records on, or go on.
+
+        :param paused: Whether to stop.
+        """
+        if paused == self._paused:
+            return
+        self._paused = paused
+        for topic in self._topics:
+            topic.wait_s = FIRST_READ_WAIT_S
+            self._abandon(topic)
+
+    def advance(self, name: str, next_offset: int) -> None:
+        """Note that the records before an offset came from a neighbour.
+
+        :param name: Name of the topic.
+        :param next_offset: Offset to read on from.
+        """
+        topic = next(topic for topic in self._topics if topic.name == name)
+        if topic.offset is None:
+            self._abandon(topic)
+        topic.offset = max(topic.offset or 0, next_offset)
+
+    def refresh(self, name: str) -> None:
+        """Read a topic over a new connection, since the read under way is stuck.
+
+        :param name: Name of the topic.
+        """
+        topic = next(topic for topic in self._topics if topic.name == name)
+        topic.wait_s = FIRST_READ_WAIT_S
+        topic.next_try_at_s = 0.0
+        self._abandon(topic)
+
+    def _abandon(self, topic: _Topic) -> None:
+        """Give the call under way up without counting it as a failure."""
+        stream, topic.stream, topic.call = topic.stream, None, None
+        topic.after, topic.pages = "", ()
+        if stream is not None and not stream.closed:
+            stream.abort()
+
     @handler("put_record")
     def _on_put_record(self, topic, record):
         self._unwritten[topic, record.key] = record
@@ -122,9 +170,10 @@
     def _on_tick(self, now):
         self.expire_calls((*self._topics, self._writer), now)
         for i, topic in enumerate(self._topics):
-            if topic.is_free(now) and (i == 0 or self.reachable):
+            is_due = topic.is_free(now) and (i == 0 or self.reachable)
+            if is_due and not self._paused:
                 self._start_read(topic, now)
-        if self.reachable:
+        if self.reachable or self._paused:
             self._start_write(now)
 
     def _start_read(self, topic: _Topic, now: float) -> None:
@@ -215,7 +264,7 @@
             return
         records, topic.pages = topic.pages, ()
         topic.offset = max(topic.next_offset, topic.oldest)
-        self.fire(records_read(topic.name, records, True), "*")
+        self.fire(records_read(topic.name, records, topic.offset, True), "*")
         self._start_read(topic, now_s())
 
     def _finish_read(self, topic: _Topic, call: StoreCall, body: bytes) -> None:
@@ -231,12 +280,11 @@
         topic.offset = answer.records[-1].offset + 1
         topic.next_try_at_s = now_s() + PAUSE_AFTER_RECORDS_S
         records = tuple(self._decoded(topic, answer.records))
-        if records:
-            self.fire(records_read(topic.name, records, False), "*")
+        self.fire(records_read(topic.name, records, topic.offset, False), "*")
 
     def _decoded(self, topic: _Topic, records):
         for record in records:
-            decoded = decode_keyed(record.value, str(self._address))
+            decoded = decode_keyed(record, str(self._address))
             if decoded.is_ok():
                 yield decoded.ok_value
                 continue
--- a/src/heatherspur/platform/protocol.py
+++ b/src/heatherspur/platform/protocol.py
@@ -69,10 +69,12 @@
 
     :param key: Its key.
     :param value: Its value; empty where the key was dropped.
+    :param offset: Its offset; 0 for one that is not written yet.
     """
 
     key: str
     value: bytes
+    offset: int = 0
 
 
 class NewestAnswer(NamedTuple):
@@ -130,18 +132,19 @@
     return bytes([len(key)]) + key + record.value
 
 
-def decode_keyed(value: bytes, peer: str) -> Result[KeyedRecord, LogError]:
+def decode_keyed(record: LogRecord, peer: str) -> Result[KeyedRecord, LogError]:
     """Decode the content of a record with a key.
 
-    :param value: The content.
+    :param record: The record.
     :param peer: Address of the store, for the error.
     """
+    value = record.value
     length = value[0] if value else 0
     key, rest = value[1 : 1 + length], value[1 + length :]
     try:
         if not length or len(key) != length:
             raise ValueError("key is cut short")
-        return Ok(KeyedRecord(key.decode(), rest))
+        return Ok(KeyedRecord(key.decode(), rest, record.offset))
     except ValueError as error:
         return Err(LogError("decode record", peer, str(error)))
 
@@ -228,11 +231,13 @@
     try:
         answer = orjson.loads(body)
         records = tuple(
-            KeyedRecord(item["key"], base64.b64decode(item["value"]))
+            KeyedRecord(
+                item["key"], base64.b64decode(item["value"]), int(item["offset"])
+            )
             for item in answer["items"]
         )
         after = records[-1].key if answer["has_more"] else ""
-        offsets = [int(item["offset"]) for item in answer["items"]]
-        return Ok(NewestAnswer(records, after, max(offsets, default=-1) + 1))
+        last = max((record.offset for record in records), default=-1)
+        return Ok(NewestAnswer(records, after, last + 1))
     except (ValueError, KeyError, TypeError, IndexError):
         return Err(LogError("read newest", peer, "answer is not understood"))
--- a/src/heatherspur/sidecar/app.py
+++ b/src/heatherspur/sidecar/app.py
@@ -31,6 +31,7 @@
 from heatherspur.sidecar.entry import SidecarEntry
 from heatherspur.sidecar.events import fleet_changed, table_changed
 from heatherspur.sidecar.exit import SidecarExit
+from heatherspur.sidecar.feed import SidecarFeed
 from heatherspur.sidecar.links import SidecarLinkHub, SidecarLinks
 from heatherspur.sidecar.metrics import SidecarMetrics
 
@@ -115,14 +116,14 @@
         is_stopping = self._stopping_since_s is not None
         return self._table is not None and self._members_known and not is_stopping
 
-    @handler("records_read", channel="*")
-    def _on_records_read(self, topic, records, is_whole):
+    @handler("keys_changed", channel="*")
+    def _on_keys_changed(self, topic, values_by_key):
         if topic == CONFIG_TOPIC:
-            for record in records:
-                if record.key == CONFIG_KEY:
-                    self._take_table(record.value)
+            value = values_by_key.get(CONFIG_KEY)
+            if value:
+                self._take_table(value)
         elif topic == MEMBERS_TOPIC:
-            self._take_members(records, is_whole)
+            self._take_members(values_by_key)
 
     def _take_table(self, value: bytes) -> None:
         """Put a configuration in force, unless it is older than the one in force."""
@@ -147,12 +148,8 @@
         )
         self.fire(table_changed(table), "*")
 
-    def _take_members(self, records, is_whole: bool) -> None:
-        if is_whole:
-            hosts = {record.key for record in records}
-            for host in self._fleet.members_by_host.keys() - hosts:
-                self._fleet.remove(host)
-        for host, value in records:
+    def _take_members(self, values_by_host: dict[str, bytes]) -> None:
+        for host, value in values_by_host.items():
             member = _decode_member(host, value)
             if member is None:
                 self._fleet.remove(host)
--- a/src/heatherspur/sidecar/events.py
+++ b/src/heatherspur/sidecar/events.py
@@ -2,7 +2,7 @@
 
 from circuits import Event
 
-__all__ = ["fleet_changed", "table_changed", "target_heard"]
+__all__ = ["fleet_changed", "keys_changed", "table_changed", "target_heard"]
 
 
 class table_changed(Event):  # noqa: N801 - circuits names events in lower case
@@ -12,6 +12,14 @@
     """
 
 
+class keys_changed(Event):  # noqa: N801 - circuits names events in lower case
+    """Records of a topic changed, in the store or at a neighbour.
+
+    :param topic: Name of the topic.
+    :param values_by_key: New values; empty where a key was dropped.
+    """
+
+
 class fleet_changed(Event):  # noqa: N801
     """The records of other nodes changed."""
 
--- /dev/null
+++ b/src/heatherspur/sidecar/feed.py
@@ -0,0 +1,136 @@
+"""Gets the store's records, from the store or from a neighbour, and passes them on."""
+
+import logging
+
+from circuits import BaseComponent, handler
+
+from heatherspur.core import now_s
+from heatherspur.dispatch.fleet import FleetView
+from heatherspur.feed import FeedPlan, Follower, TopicRecords
+from heatherspur.feed.conf import BEAT_S
+from heatherspur.link import messages as m
+from heatherspur.platform import KeyedHub, KeyedRecord
+from heatherspur.sidecar.events import keys_changed
+from heatherspur.sidecar.links import SidecarLinks
+
+__all__ = ["SidecarFeed"]
+
+logger = logging.getLogger("heatherspur.feed")
+
+
+class SidecarFeed(BaseComponent):
+    """The node's copy of the topics, and its part in passing them on.
+
+    :param fleet: Members and their reachability.
+    :param links: Links to other nodes.
+    :param store: Reads the store.
+    :param topics: Names of the topics, that of the configuration first.
+    """
+
+    channel = "feed"
+
+    def __init__(
+        self,
+        fleet: FleetView,
+        links: SidecarLinks,
+        store: KeyedHub,
+        topics: tuple[str, ...],
+    ) -> None:
+        super().__init__()
+        self._fleet = fleet
+        self._links = links
+        self._store = store
+        self._config_topic = topics[0]
+        self._records_by_topic = {topic: TopicRecords() for topic in topics}
+        self._plan = FeedPlan(fleet.me, fleet.zone)
+        self._follower = Follower()
+        self._next_beat_s = 0.0
+        self._is_fed = False
+        # Offsets up to which a neighbour got the topics over its present link.
+        self._sent_by_node: dict[str, dict[str, int]] = {}
+
+    @property
+    def _config_end(self) -> int:
+        return self._records_by_topic[self._config_topic].next_offset
+
+    @handler("records_read", channel="*")
+    def _on_records_read(self, topic, records, next_offset, is_whole):
+        before = self._config_end
+        self._merge(topic, records, next_offset, is_whole)
+        if topic == self._config_topic and before < self._config_end:
+            for node in self._plan.feeders:
+                self._links.send(node, m.FeedEnd(self._config_end))
+
+    def _merge(self, topic: str, records, next_offset: int, is_whole: bool) -> None:
+        known = self._records_by_topic[topic]
+        was_known = known.is_known
+        changed = known.merge(records, next_offset, is_whole)
+        if topic == self._config_topic:
+            self._follower.hear_end(next_offset)
+        if changed or known.is_known != was_known:
+            self.fire(keys_changed(topic, changed), "*")
+        for node in self._plan.fed_nodes:
+            self._feed(node)
+
+    def _feed(self, node: str) -> None:
+        """Send a neighbour what it has not got yet."""
+        sent_by_topic = self._sent_by_node.setdefault(node, {})
+        for topic, known in self._records_by_topic.items():
+            since = sent_by_topic.get(topic, 0)
+            if not known.is_known or (
+                topic in sent_by_topic and known.next_offset <= since
+            ):
+                continue
+            sent_by_topic[topic] = known.next_offset
+            records = tuple(tuple(record) for record in known.since(since))
+            news = m.FeedRecords(topic, since, known.next_offset, records)
+            self._links.send(node, news)
+
+    @handler("received")
+    def _on_received(self, link, messages):
+        for message in messages:
+            if isinstance(message, m.FeedRecords):
+                self._take(message)
+            elif isinstance(message, m.FeedBeat):
+                self._follower.hear_end(message.known_end)
+                self._follower.hear_beat(message.reads_store, now_s())
+            elif isinstance(message, m.FeedEnd):
+                self._follower.hear_end(message.next_offset)
+
+    def _take(self, news: m.FeedRecords) -> None:
+        """Take records of a neighbour, unless some before them are missing."""
+        known = self._records_by_topic.get(news.topic)
+        if known is None or news.since > known.next_offset:
+            return
+        records = [KeyedRecord(*record) for record in news.records]
+        self._merge(news.topic, records, news.next_offset, news.since == 0)
+        self._store.advance(news.topic, known.next_offset)
+
+    @handler("link_down", channel="*")
+    def _on_link_down(self, link, reason):
+        if link.is_entry:
+            self._sent_by_node.pop(link.node, None)
+
+    @handler("tick", channel="*")
+    def _on_tick(self, now):
+        if self._follower.is_stuck(self._config_end, now):
+            extra = {"known": self._config_end, "end": self._follower.known_end}
+            logger.warning("feed: records are missing", extra=extra)
+            self._store.refresh(self._config_topic)
+        is_fed = self._follower.is_fed(now) and not self._plan.is_feeder
+        if is_fed != self._is_fed:
+            self._is_fed = is_fed
+            logger.info("feed: source changed", extra={"neighbour": is_fed})
+        self._store.pause(is_fed)
+        if now >= self._next_beat_s:
+            self._next_beat_s = now + BEAT_S
+            self._beat(now)
+
+    def _beat(self, now: float) -> None:
+        self._plan.update(self._fleet.nodes_by_zone(now))
+        for node in self._sent_by_node.keys() - set(self._plan.fed_nodes):
+            del self._sent_by_node[node]
+        reads_store = self._store.reads_itself
+        for node in self._plan.fed_nodes:
+            self._feed(node)
+            self._links.send(node, m.FeedBeat(reads_store, self._follower.known_end))
