Let a request wait for a token that is due in a moment

Cause: a new owner of a customer's bucket starts empty, and refused the first requests of customers within their limit; callers do not come back. Ruled out: a first token for each new owner (adds to the limit at each change). Change: tokens due within 0.12 s are promised, and the request waits for them.

--- a/src/heatherspur/dispatch/conf.py
+++ b/src/heatherspur/dispatch/conf.py
@@ -10,8 +10,10 @@
     "FALLBACK_SHARE",
     "GRANT_TIMEOUT_S",
     "MAX_ASKED",
+    "MAX_BUDGET_DECLINES",
     "MAX_DOUBT_S",
     "MAX_PROBE_GAP_S",
+    "MAX_TOKEN_WAIT_S",
     "N_REMOTE_A_ROUND",
     "PROBE_GAP_GROWTH",
     "PROBE_GAP_S",
@@ -29,6 +31,8 @@
 # Half of the targets of today's services; more asks cost bytes, not slots.
 MAX_ASKED = 8
 N_REMOTE_A_ROUND = 2
+# Each further question between zones costs more than it is likely to bring.
+MAX_BUDGET_DECLINES = 6
 # A failed probe costs a repeat; the fleet's budget allows a few a second and service.
 # Gray spells last two to five seconds, so the gap grows to a part of that.
 PROBE_GAP_S = 0.3
@@ -44,6 +48,9 @@
 RECOVERY_SUCCESSES = 2
 # Round trip between zones is below 20 ms; a lost packet costs 200 ms more.
 QUOTA_TIMEOUT_S = 0.12
+# Waiting costs nothing up to an eighth of the objective, 0.12 s or more; a new owner's
+# bucket starts empty and gets the first tokens of most customers in this time.
+MAX_TOKEN_WAIT_S = 0.12
 # Nodes that are cut off and the owner of a limit may both admit for a while.
 FALLBACK_SHARE = 0.5
 # A reset link is dialled again at once; a cut one is tried a few times within the
--- a/src/heatherspur/dispatch/quota.py
+++ b/src/heatherspur/dispatch/quota.py
@@ -4,15 +4,21 @@
 node owns each customer's bucket, chosen by rendezvous hashing among the nodes that
 answer; the others ask it for a token a request. A new owner starts with an empty
 bucket, so that a change of owner hands out no second burst. A node that can't reach
-the owner admits from a small share of its own.
+the owner admits from a small share of its own. A request whose token is due in a
+moment waits for it: most callers don't come back after a refusal.
 """
 
 import itertools
+import math
 from collections.abc import Iterable, Iterator
 from typing import NamedTuple
 
 from heatherspur.core import stable_hash
-from heatherspur.dispatch.conf import FALLBACK_SHARE, QUOTA_TIMEOUT_S
+from heatherspur.dispatch.conf import (
+    FALLBACK_SHARE,
+    MAX_TOKEN_WAIT_S,
+    QUOTA_TIMEOUT_S,
+)
 from heatherspur.dispatch.types import Customer
 from heatherspur.exchange import SendTo
 from heatherspur.limits import Bucket
@@ -90,7 +96,14 @@
             return m.TokenGrant(ask.loan, SHARE, ask.customer, 0, 0)
         amount = bucket.lend(ask.amount, now)
         bucket.close_loan(spent=amount, returned=0)
-        wait_ms = 0 if amount else max(1, int(bucket.wait_s(1) * 1000))
+        wait_ms = 0
+        if not amount:
+            wait_s = bucket.wait_s(ask.amount)
+            wait_ms = max(1, math.ceil(wait_s * 1000))
+            if wait_s <= MAX_TOKEN_WAIT_S:
+                # The next tokens are promised to this request.
+                amount = ask.amount
+                bucket.level -= amount
         return m.TokenGrant(ask.loan, SHARE, ask.customer, amount, wait_ms)
 
     def _bucket(self, name: str, now: float) -> Bucket | None:
@@ -123,6 +136,7 @@
         self._pending_by_loan: dict[int, _Pending] = {}
         self._fallbacks_by_name: dict[str, Bucket] = {}
         self._silent_until_by_node: dict[str, float] = {}
+        self._admitted_at_by_exchange: dict[int, float] = {}
         self._nodes: list[str] = []
         self._owners_by_name: dict[str, str] = {}
         self._n_nodes = 1
@@ -165,7 +179,7 @@
         loan = next(self._loans)
         ask = m.TokenAsk(loan, SHARE, customer.name, 1)
         if node == self._me:
-            yield _outcome(exchange, self._owner.lend(ask, now))
+            yield from self._take(exchange, self._owner.lend(ask, now), now)
         elif now < self._silent_until_by_node.get(node, 0.0):
             yield self._fall_back(exchange, customer, now)
         else:
@@ -198,21 +212,29 @@
         if pending is None:
             return
         self._silent_until_by_node.pop(pending.node, None)
-        yield _outcome(pending.exchange, grant)
+        yield from self._take(pending.exchange, grant, now)
+
+    def _take(
+        self, exchange: int, grant: m.TokenGrant, now: float
+    ) -> Iterator[NamedTuple]:
+        if not grant.amount:
+            yield OverLimit(exchange, grant.wait_ms / 1000)
+        elif grant.wait_ms:
+            self._admitted_at_by_exchange[exchange] = now + grant.wait_ms / 1000
+        else:
+            yield Admitted(exchange)
 
     def tick(self, now: float) -> Iterator[NamedTuple]:
-        """Stop waiting for owners that do not answer.
+        """Admit requests whose token is there; stop waiting for silent owners.
 
         :param now: Clock reading in seconds.
         """
+        for exchange, at_s in list(self._admitted_at_by_exchange.items()):
+            if now >= at_s:
+                del self._admitted_at_by_exchange[exchange]
+                yield Admitted(exchange)
         for loan, pending in list(self._pending_by_loan.items()):
             if now >= pending.until_s:
                 del self._pending_by_loan[loan]
                 self._silent_until_by_node[pending.node] = now + SILENT_OWNER_S
                 yield self._fall_back(pending.exchange, pending.customer, now)
-
-
-def _outcome(exchange: int, grant: m.TokenGrant) -> NamedTuple:
-    if grant.amount:
-        return Admitted(exchange)
-    return OverLimit(exchange, grant.wait_ms / 1000)
