Keep the budget of repeats beside the targets

Cause: each entry had a share of a service's repeats, about 2 a window. Ruled out: larger shares at the entries (the sum over nodes could pass the limit). The test of the entry's budget is replaced by tests/test_budget.py, which sums over all targets in each window, under full load and after calm.

--- a/src/heatherspur/dispatch/budget.py
+++ b/src/heatherspur/dispatch/budget.py
@@ -1,21 +1,26 @@
-"""Keeps repeats to a share of the requests, summed over all nodes.
+"""Keeps repeats at a service to a share of its requests, summed over all nodes.
 
 Load pattern: many targets fail at once, and each failed idempotent request goes to a
-second target; without a bound the repeats would overload what still works.
+second target; without a bound the repeats would overload what still works. The node
+beside each target keeps a share of the service's budget, so a burst of failures at
+one entry draws on the shares of all targets that have room.
 """
 
 __all__ = ["RepeatBudget"]
 
-# Clients are spread unevenly over hosts, so a node uses part of its share only.
+# Calls made by repeated runs count as repeats too, and no exit can tell them apart.
 SAFETY = 0.85
+# Part of the slack that may be saved up, and that a new process starts with; what is
+# saved and what comes in during a window are together no more than the slack.
+SAVED_PART = 0.35
 
 
 class RepeatBudget:
-    """Repeats that one node may cause at one service.
+    """Repeats that one target may get.
 
     :param ratio: Repeats allowed relative to requests.
     :param window_s: Window over which repeats are counted, in seconds.
-    :param slack: Repeats allowed in a window besides the ratio, over all nodes.
+    :param slack: Repeats that the service may get in a window besides the ratio.
     :param now: Clock reading in seconds.
     """
 
@@ -23,26 +28,30 @@
         self._ratio = ratio * SAFETY
         self._window_s = window_s
         self._slack = slack * SAFETY
-        self._saved = 1.0
+        self._saved: float | None = None
+        self._earned = 0.0
         self._updated_at_s = now
 
     def note_request(self) -> None:
-        """Count a request."""
-        self._saved += self._ratio
+        """Count a request that arrives for the first time."""
+        self._earned += self._ratio
 
-    def take(self, n_nodes: int, now: float) -> bool:
-        """Take one repeat, if one is left.
+    def has_room(self, n_targets: int, now: float) -> bool:
+        """Tell whether a repeat is left.
 
-        :param n_nodes: Nodes that share the slack.
+        :param n_targets: Targets that share the slack.
         :param now: Clock reading in seconds.
         """
-        share = self._slack / max(1, n_nodes)
+        share = self._slack / max(1, n_targets)
         elapsed_s = max(0.0, now - self._updated_at_s)
         self._updated_at_s = now
-        self._saved = min(
-            max(2.0, share), self._saved + elapsed_s * share / self._window_s
-        )
-        if self._saved < 1:
-            return False
-        self._saved -= 1
-        return True
+        refill = elapsed_s * share * (1 - SAVED_PART) / self._window_s
+        most = max(1.0, share * SAVED_PART)
+        saved = most if self._saved is None else self._saved
+        self._saved = min(most, saved + refill + self._earned)
+        self._earned = 0.0
+        return self._saved >= 1
+
+    def take(self) -> None:
+        """Count a repeat."""
+        self._saved = (self._saved or 0.0) - 1
--- a/src/heatherspur/dispatch/dispatcher.py
+++ b/src/heatherspur/dispatch/dispatcher.py
@@ -12,11 +12,16 @@
 from functools import singledispatchmethod
 from typing import NamedTuple
 
-from heatherspur.dispatch.budget import RepeatBudget
-from heatherspur.dispatch.conf import ASK_MORE_AFTER_S, COLLECT_S, RESUME_GAP_S
+from heatherspur.dispatch.conf import (
+    ASK_MORE_AFTER_S,
+    COLLECT_S,
+    MAX_BUDGET_DECLINES,
+    RESUME_GAP_S,
+)
 from heatherspur.dispatch.fleet import FleetView
 from heatherspur.dispatch.opened import Decided, Finished, OpenRequest
 from heatherspur.dispatch.placement import best_grant, choose_members
+from heatherspur.dispatch.queue import REPEAT_BUDGET
 from heatherspur.dispatch.types import FleetSettings, Request
 from heatherspur.exchange import SendTo
 from heatherspur.link import messages as m
@@ -58,7 +63,6 @@
         self._stop_waiting_at_s = float("inf")
         self._open_by_exchange: dict[int, OpenRequest] = {}
         self._open_by_number: dict[int, OpenRequest] = {}
-        self._budgets_by_service: dict[str, RepeatBudget] = {}
         self._run_s_by_service: dict[str, float] = {}
 
     @property
@@ -81,19 +85,8 @@
         """
         opened = OpenRequest(request, now)
         self._open_by_exchange[request.exchange] = opened
-        self._budget(request.service, now).note_request()
         yield from self._ask(opened, now)
 
-    def _budget(self, service: str, now: float) -> RepeatBudget:
-        budget = self._budgets_by_service.get(service)
-        if budget is None:
-            settings = self._settings
-            budget = RepeatBudget(
-                settings.retry_ratio, settings.retry_window_s, settings.retry_slack, now
-            )
-            self._budgets_by_service[service] = budget
-        return budget
-
     def _ask(self, opened: OpenRequest, now: float) -> Iterator[NamedTuple]:
         """Ask the exits of the own zone at first, then some of the others."""
         request = opened.request
@@ -118,12 +111,14 @@
                     may_probe=self._may_probe(opened),
                     inner=request.route.open,
                     n_asked=n_asked,
+                    is_repeat=opened.n_handed > 0,
                 ),
             )
         opened.asked_at_s = now
         opened.ask_more_at_s = now + ASK_MORE_AFTER_S
         if not opened.nodes_by_number and opened.executing is None:
-            yield from self._give_up(opened, "no-target", now)
+            reason = REPEAT_BUDGET if opened.n_budget_declines else "no-target"
+            yield from self._give_up(opened, reason, now)
 
     def _may_probe(self, opened: OpenRequest) -> bool:
         route = opened.request.route
@@ -188,6 +183,16 @@
         elif opened.executing is None and opened.grants_by_number:
             yield from self._use_grant(opened, now)
         elif opened.executing is None and not opened.nodes_by_number:
+            yield from self._note_decline(opened, message.reason, now)
+
+    def _note_decline(
+        self, opened: OpenRequest, reason: str, now: float
+    ) -> Iterator[NamedTuple]:
+        """Ask others, unless the service's repeats are used up in all likelihood."""
+        opened.n_budget_declines += reason == REPEAT_BUDGET
+        if opened.n_budget_declines >= MAX_BUDGET_DECLINES:
+            yield from self._give_up(opened, REPEAT_BUDGET, now)
+        else:
             yield from self._ask(opened, now)
 
     @receive.register
@@ -266,7 +271,7 @@
         if not reached:
             opened.n_handed -= 1
         yield Decided(opened.request, "not run at target", reason, node, {})
-        yield from self._repeat(opened, reason, reached, now)
+        yield from self._repeat(opened, reason, now)
 
     @receive.register
     def _on_failed(self, message: m.Failed, node: str, now: float):
@@ -282,7 +287,7 @@
         opened.was_handed = True
         yield Decided(opened.request, "lost at target", reason, node, {})
         if opened.request.route.idempotent:
-            yield from self._repeat(opened, reason, True, now)
+            yield from self._repeat(opened, reason, now)
         else:
             yield from self._give_up(opened, reason, now)
 
@@ -302,7 +307,7 @@
             opened.was_handed = True
             opened.fallback = message
             yield Decided(request, "error of target", str(message.status), node, {})
-            yield from self._repeat(opened, "target-error", True, now)
+            yield from self._repeat(opened, "target-error", now)
             return
         yield from self._deliver(opened, message, now)
 
@@ -331,17 +336,13 @@
         return opened
 
     def _repeat(
-        self, opened: OpenRequest, reason: str, counts: bool, now: float
+        self, opened: OpenRequest, reason: str, now: float
     ) -> Iterator[NamedTuple]:
-        """Ask for another slot, if attempts, time and the repeat budget allow it."""
+        """Ask for another slot, if attempts and time allow it."""
         request = opened.request
         is_spent = opened.n_handed >= request.route.max_targets
         if is_spent or now > self._last_start_s(opened):
             yield from self._give_up(opened, reason, now)
-        elif counts and not self._budget(request.service, now).take(
-            self._fleet.n_nodes, now
-        ):
-            yield from self._give_up(opened, "repeat-budget", now)
         else:
             yield from self._ask(opened, now)
 
--- a/src/heatherspur/dispatch/queue.py
+++ b/src/heatherspur/dispatch/queue.py
@@ -9,11 +9,12 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
+from heatherspur.dispatch.budget import RepeatBudget
 from heatherspur.dispatch.conf import GRANT_TIMEOUT_S
 from heatherspur.dispatch.verdict import TargetVerdict
 from heatherspur.link import messages as m
 
-__all__ = ["ReservationKey", "SlotReply", "TargetQueue", "Waiting"]
+__all__ = ["REPEAT_BUDGET", "ReservationKey", "SlotReply", "TargetQueue", "Waiting"]
 
 # Until the first answers are in; typical of the users' services.
 DEFAULT_RUN_S = 0.3
@@ -22,6 +23,8 @@
 RECENT_SMOOTHING = 0.3
 # Expected wait told while a target is doubtful: longer than most objectives.
 DOUBTFUL_WAIT_MS = 3000
+# Reason of a decline: the target has got its share of the service's repeats.
+REPEAT_BUDGET = "repeat-budget"
 
 
 class ReservationKey(NamedTuple):
@@ -45,6 +48,7 @@
     :param may_probe: Whether the request may test a doubtful target.
     :param inner: Whether a target waits for the answer while it holds a slot.
     :param weight: Chance that it comes to use a slot here, from 0 to 1.
+    :param is_repeat: Whether a target has got the request before.
     """
 
     key: ReservationKey
@@ -54,6 +58,7 @@
     may_probe: bool
     inner: bool
     weight: float
+    is_repeat: bool
 
 
 class SlotReply(NamedTuple):
@@ -67,6 +72,17 @@
     message: m.Message
 
 
+class Granted(NamedTuple):
+    """A slot that is held for a reservation.
+
+    :param until_s: Clock reading at which it lapses.
+    :param is_repeat: Whether a target has got the request before.
+    """
+
+    until_s: float
+    is_repeat: bool
+
+
 class Running(NamedTuple):
     """A request at the target.
 
@@ -80,15 +96,18 @@
     """Slots and waiting list of the target beside this node.
 
     :param process: Random number of this process; part of each grant.
+    :param budget: Repeats that the target may get.
     """
 
-    def __init__(self, process: int) -> None:
+    def __init__(self, process: int, budget: RepeatBudget) -> None:
         self.process = process
+        self.n_targets = 1
+        self._budget = budget
         self.slots = 0
         self.accepting = False
         self.verdict = TargetVerdict()
         self._waiting_by_key: dict[ReservationKey, Waiting] = {}
-        self._granted_by_key: dict[ReservationKey, float] = {}
+        self._granted_by_key: dict[ReservationKey, Granted] = {}
         self._running_by_key: dict[ReservationKey, Running] = {}
         self._mean_run_s = DEFAULT_RUN_S
         self._recent_run_s = DEFAULT_RUN_S
@@ -117,6 +136,9 @@
         if not self.accepting:
             yield SlotReply(waiting.key, m.Decline(waiting.key.number, "not-ready"))
             return
+        if waiting.is_repeat and not self._budget.has_room(self.n_targets, now):
+            yield SlotReply(waiting.key, m.Decline(waiting.key.number, REPEAT_BUDGET))
+            return
         self._waiting_by_key[waiting.key] = waiting
         yield from self.pump(now)
         if waiting.key in self._waiting_by_key:
@@ -156,7 +178,8 @@
             if waiting is None:
                 return
             del self._waiting_by_key[waiting.key]
-            self._granted_by_key[waiting.key] = now + GRANT_TIMEOUT_S
+            until_s = now + GRANT_TIMEOUT_S
+            self._granted_by_key[waiting.key] = Granted(until_s, waiting.is_repeat)
             proven_ms = int((now - self.verdict.proven_at_s) * 1000)
             number, run_ms = waiting.key.number, self._run_ms(now)
             grant = m.Grant(number, proven_ms, run_ms, self.process)
@@ -178,8 +201,13 @@
         :param now: Clock reading in seconds.
         :returns: Whether the slot was still held; if not, nothing may run.
         """
-        if self._granted_by_key.pop(key, None) is None:
+        granted = self._granted_by_key.pop(key, None)
+        if granted is None:
             return False
+        if granted.is_repeat:
+            self._budget.take()
+        else:
+            self._budget.note_request()
         self._running_by_key[key] = Running(now)
         return True
 
@@ -235,8 +263,8 @@
 
         :param now: Clock reading in seconds.
         """
-        for key, until_s in list(self._granted_by_key.items()):
-            if now >= until_s:
+        for key, granted in list(self._granted_by_key.items()):
+            if now >= granted.until_s:
                 del self._granted_by_key[key]
                 yield SlotReply(key, m.Decline(key.number, "grant-expired"))
         for key, waiting in list(self._waiting_by_key.items()):
--- a/src/heatherspur/dispatch/tests/builders.py
+++ b/src/heatherspur/dispatch/tests/builders.py
@@ -12,6 +12,7 @@
     StoreLimits,
     TargetBeat,
 )
+from heatherspur.dispatch.budget import RepeatBudget
 from heatherspur.dispatch.dispatcher import Dispatcher
 from heatherspur.dispatch.fleet import FleetView, Member
 from heatherspur.dispatch.queue import ReservationKey, TargetQueue, Waiting
@@ -91,7 +92,7 @@
 
 
 def make_queue(slots: int = 1) -> TargetQueue:
-    queue = TargetQueue(process=5)
+    queue = TargetQueue(5, RepeatBudget(0.2, 10.0, 64.0, 0.0))
     queue.slots = slots
     queue.accepting = True
     return queue
@@ -106,6 +107,7 @@
         may_probe=True,
         inner=False,
         weight=1.0,
+        is_repeat=False,
     )
     return waiting._replace(**changes)
 
--- /dev/null
+++ b/src/heatherspur/dispatch/tests/test_budget.py
@@ -0,0 +1,99 @@
+"""Repeats at the targets of one service, summed over all nodes."""
+
+import random
+
+import pytest
+
+from heatherspur.dispatch.budget import RepeatBudget
+from heatherspur.dispatch.queue import REPEAT_BUDGET, ReservationKey
+from heatherspur.dispatch.tests.builders import (
+    make_dispatcher,
+    make_member,
+    make_queue,
+    make_request,
+    make_waiting,
+)
+from heatherspur.exchange import SendTo
+from heatherspur.link import messages as m
+
+RATIO, WINDOW_S, SLACK = 0.2, 10.0, 64.0
+N_TARGETS = 8
+
+
+def _play(arrivals) -> list[float]:
+    """Return the times of the repeats that were let through."""
+    budgets = [RepeatBudget(RATIO, WINDOW_S, SLACK, 0.0) for _ in range(N_TARGETS)]
+    times = []
+    for at_s, target, is_repeat in arrivals:
+        budget = budgets[target]
+        if not is_repeat:
+            budget.note_request()
+        elif budget.has_room(N_TARGETS, at_s):
+            budget.take()
+            times.append(at_s)
+    return times
+
+
+def _allowed(times, per_s: float) -> bool:
+    return all(
+        sum(start_s <= at_s < start_s + WINDOW_S for at_s in times)
+        <= RATIO * per_s * WINDOW_S + SLACK
+        for start_s in times
+    )
+
+
+@pytest.mark.parametrize("per_s", [5, 50, 200])
+@pytest.mark.parametrize("calm_s", [0, 30])
+def test_each_window_keeps_the_budget_when_all_requests_are_repeated(per_s, calm_s):
+    rng = random.Random(1)
+    arrivals = []
+    for i in range(per_s * (calm_s + 30)):
+        at_s = i / per_s
+        arrivals.append((at_s, rng.randrange(N_TARGETS), False))
+        if at_s >= calm_s:
+            arrivals.append((at_s, rng.randrange(N_TARGETS), True))
+    assert _allowed(_play(arrivals), per_s)
+
+
+def test_failures_at_one_entry_draw_on_the_shares_of_all_targets():
+    """A share an entry gave 2 repeats a window where the service allowed 64."""
+    arrivals = [(30 + i / 100, i % N_TARGETS, True) for i in range(100)]
+    assert len(_play(arrivals)) >= SLACK / 4
+
+
+def test_target_without_a_repeat_left_declines_and_runs_first_requests():
+    queue = make_queue(slots=500)
+    reasons = []
+    for i in range(200):
+        repeat = make_waiting(i, is_repeat=True)
+        (reply,) = queue.reserve(repeat, 0.0)
+        if isinstance(reply.message, m.Grant):
+            assert queue.start(ReservationKey(1, i), 0.0)
+        else:
+            reasons.append(reply.message.reason)
+    assert set(reasons) == {REPEAT_BUDGET}
+    assert len(reasons) >= 200 - SLACK
+    (reply,) = queue.reserve(make_waiting(999), 0.0)
+    assert isinstance(reply.message, m.Grant)
+
+
+def test_repeat_that_one_target_declines_goes_to_another():
+    dispatcher = make_dispatcher(make_member(2), make_member(3), make_member(4))
+    asked = list(dispatcher.open(make_request(), 0.0))
+    first = asked[0]
+    messages = list(
+        dispatcher.receive(m.Grant(first.message.number, 0, 300, 5), first.node, 0.03)
+    )
+    messages += list(dispatcher.tick(0.05))
+    again = list(
+        dispatcher.receive(m.Failed(first.message.number, "lost"), first.node, 0.1)
+    )
+    reserves = [x for x in again if isinstance(x, SendTo)]
+    assert all(x.message.is_repeat for x in reserves)
+    decline = m.Decline(reserves[0].message.number, REPEAT_BUDGET)
+    assert list(dispatcher.receive(decline, reserves[0].node, 0.11)) == []
+    grant = m.Grant(reserves[1].message.number, 0, 300, 5)
+    messages = list(dispatcher.receive(grant, reserves[1].node, 0.12))
+    assert any(
+        isinstance(x, SendTo) and isinstance(x.message, m.Execute) for x in messages
+    )
--- a/src/heatherspur/dispatch/tests/test_dispatcher.py
+++ b/src/heatherspur/dispatch/tests/test_dispatcher.py
@@ -143,16 +143,6 @@
     assert _finished(messages).status == 502
 
 
-def test_repeats_stay_within_the_budget():
-    dispatcher = make_dispatcher(*(make_member(i) for i in range(2, 26)))
-    n_repeated = 0
-    for i in range(100):
-        number, node = _run(dispatcher, make_request(i))
-        messages = list(dispatcher.receive(m.Failed(number, "lost"), node, 0.1))
-        n_repeated += bool(_sent(messages, m.Reserve))
-    assert 10 <= n_repeated <= 100 * 0.2 + 64 / 24 + 1
-
-
 def test_answer_of_the_target_survives_a_fruitless_repeat():
     dispatcher = make_dispatcher(make_member(2))
     number, node = _run(dispatcher, make_request())
--- a/src/heatherspur/dispatch/tests/test_split.py
+++ b/src/heatherspur/dispatch/tests/test_split.py
@@ -1,10 +1,9 @@
-"""Shares of the services of a split route, and the budget for repeats."""
+"""Shares of the services of a split route."""
 
 import random
 from collections import Counter
 
 from heatherspur.dispatch import Part
-from heatherspur.dispatch.budget import RepeatBudget
 from heatherspur.dispatch.split import WeightedSplit
 from heatherspur.dispatch.tests.builders import make_route
 
@@ -31,12 +30,3 @@
     split.choose(ROUTE)
     moved = ROUTE._replace(parts=(Part("permits", 0), Part("trails", 1)))
     assert Counter(split.choose(moved) for _ in range(10)) == {"trails": 10}
-
-
-def test_budget_bounds_repeats_in_each_window():
-    budget = RepeatBudget(0.2, 10.0, 64.0, 0.0)
-    n_repeats = 0
-    for i in range(1000):
-        budget.note_request()
-        n_repeats += budget.take(24, i / 100)
-    assert n_repeats <= 0.2 * 1000 + 64 / 24
--- a/src/heatherspur/link/reservations.py
+++ b/src/heatherspur/link/reservations.py
@@ -32,6 +32,7 @@
         again, and another attempt is left.
     :param inner: Whether a target waits for the answer while it holds a slot.
     :param n_asked: Number of exits asked for the same request.
+    :param is_repeat: Whether a target has got the request before.
     """
 
     number: int
@@ -42,6 +43,7 @@
     may_probe: bool
     inner: bool
     n_asked: int
+    is_repeat: bool
 
 
 class Queued(NamedTuple):
--- a/src/heatherspur/sidecar/app.py
+++ b/src/heatherspur/sidecar/app.py
@@ -86,10 +86,11 @@
         self._entry = SidecarEntry(
             settings, self._fleet, self._links, self._metrics
         ).register(self)
-        self._exit = SidecarExit(settings, self._metrics).register(self)
+        self._exit = SidecarExit(settings, self._fleet, self._metrics).register(self)
         self._control = ControlServer(self._is_ready, self._render).register(self)
         topics = (CONFIG_TOPIC, MEMBERS_TOPIC)
         self._store = KeyedHub(settings.store.address, topics).register(self)
+        SidecarFeed(self._fleet, self._links, self._store, topics).register(self)
         for hub in (self._hub, self._front, self._exit, self._control, self._store):
             hub.attach(poller)
 
--- a/src/heatherspur/sidecar/exit.py
+++ b/src/heatherspur/sidecar/exit.py
@@ -8,6 +8,8 @@
 
 from heatherspur.core import Address, now_s
 from heatherspur.dispatch import FleetSettings, TargetBeat
+from heatherspur.dispatch.budget import RepeatBudget
+from heatherspur.dispatch.fleet import FleetView
 from heatherspur.dispatch.history import RequestHistory, RequestName
 from heatherspur.dispatch.queue import (
     ReservationKey,
@@ -51,16 +53,26 @@
     """Slots of the target, and the connections to it.
 
     :param settings: Settings of the platform.
+    :param fleet: Members of all services.
     :param metrics: Metrics of the node.
     """
 
     keepalive = TARGET_KEEPALIVE
 
-    def __init__(self, settings: FleetSettings, metrics: SidecarMetrics) -> None:
+    def __init__(
+        self, settings: FleetSettings, fleet: FleetView, metrics: SidecarMetrics
+    ) -> None:
         super().__init__(channel="exit")
         self._settings = settings
         self._metrics = metrics
-        self._slots = TargetQueue(secrets.randbits(PROCESS_BITS))
+        self._fleet = fleet
+        budget = RepeatBudget(
+            settings.retry_ratio,
+            settings.retry_window_s,
+            settings.retry_slack,
+            now_s(),
+        )
+        self._slots = TargetQueue(secrets.randbits(PROCESS_BITS), budget)
         self._target = ""
         self._address: Address = settings.target
         self._stopping = False
@@ -127,6 +139,7 @@
             may_probe=message.may_probe,
             inner=message.inner,
             weight=1 / max(1, message.n_asked),
+            is_repeat=message.is_repeat,
         )
         self._send(self._slots.reserve(waiting, now))
 
@@ -376,6 +389,10 @@
             if request.reply_key.link == link.serial and request.message.idempotent:
                 self._cancel(connection, "link-lost", now)
 
+    @handler("fleet_changed", channel="*")
+    def _on_fleet_changed(self):
+        self._slots.n_targets = self._fleet.n_targets(self._settings.service)
+
     @handler("stop_node", channel="*")
     def _on_stop_node(self):
         self._stopping = True
