Let requests wait for targets that are about to come back; refuse futile ones

The node beside a target now declines a route whose last two requests ran into their timeout there, but for one try in 2 s. Ruled out: ranking such requests last (they hold slots for as long). Tests: dispatch/tests/test_queue.py, test_dispatcher.py.

--- a/src/heatherspur/dispatch/conf.py
+++ b/src/heatherspur/dispatch/conf.py
@@ -8,12 +8,15 @@
     "ASK_MORE_AFTER_S",
     "COLLECT_S",
     "FALLBACK_SHARE",
+    "FUTILE_PROBE_GAP_S",
     "GRANT_TIMEOUT_S",
     "MAX_ASKED",
-    "MAX_BUDGET_DECLINES",
     "MAX_DOUBT_S",
+    "MAX_FINAL_DECLINES",
     "MAX_PROBE_GAP_S",
     "MAX_TOKEN_WAIT_S",
+    "NO_TARGET_WAIT_S",
+    "N_FUTILE",
     "N_REMOTE_A_ROUND",
     "PROBE_GAP_GROWTH",
     "PROBE_GAP_S",
@@ -32,7 +35,7 @@
 MAX_ASKED = 8
 N_REMOTE_A_ROUND = 2
 # Each further question between zones costs more than it is likely to bring.
-MAX_BUDGET_DECLINES = 6
+MAX_FINAL_DECLINES = 4
 # A failed probe costs a repeat; the fleet's budget allows a few a second and service.
 # Gray spells last two to five seconds, so the gap grows to a part of that.
 PROBE_GAP_S = 0.3
@@ -51,6 +54,12 @@
 # Waiting costs nothing up to an eighth of the objective, 0.12 s or more; a new owner's
 # bucket starts empty and gets the first tokens of most customers in this time.
 MAX_TOKEN_WAIT_S = 0.12
+# Killed nodes are back in about a second; callers don't come back after a refusal.
+NO_TARGET_WAIT_S = 1.2
+# One request in a hundred takes five times as long as usual, two in a row hardly ever.
+N_FUTILE = 2
+# Slow spells last some seconds.
+FUTILE_PROBE_GAP_S = 2.0
 # Nodes that are cut off and the owner of a limit may both admit for a while.
 FALLBACK_SHARE = 0.5
 # A reset link is dialled again at once; a cut one is tried a few times within the
--- a/src/heatherspur/dispatch/dispatcher.py
+++ b/src/heatherspur/dispatch/dispatcher.py
@@ -15,13 +15,14 @@
 from heatherspur.dispatch.conf import (
     ASK_MORE_AFTER_S,
     COLLECT_S,
-    MAX_BUDGET_DECLINES,
+    MAX_FINAL_DECLINES,
+    NO_TARGET_WAIT_S,
     RESUME_GAP_S,
 )
 from heatherspur.dispatch.fleet import FleetView
 from heatherspur.dispatch.opened import Decided, Finished, OpenRequest
 from heatherspur.dispatch.placement import best_grant, choose_members
-from heatherspur.dispatch.queue import REPEAT_BUDGET
+from heatherspur.dispatch.queue import FUTILE, REPEAT_BUDGET
 from heatherspur.dispatch.types import FleetSettings, Request
 from heatherspur.exchange import SendTo
 from heatherspur.link import messages as m
@@ -41,6 +42,10 @@
 # most a third of the time that they have left.
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 2.0
+# A node that is down is tried again after a quarter of a second.
+ASK_AGAIN_S = 0.25
+# Declines for a reason that is likely to hold at the other targets as well.
+FINAL_REASONS = (FUTILE, REPEAT_BUDGET)
 # Stands for "no exit told a wait"; above every timeout.
 NO_WAIT_KNOWN_MS = 60_000
 
@@ -112,13 +117,29 @@
                     inner=request.route.open,
                     n_asked=n_asked,
                     is_repeat=opened.n_handed > 0,
+                    route=request.route.tag,
                 ),
             )
         opened.asked_at_s = now
         opened.ask_more_at_s = now + ASK_MORE_AFTER_S
-        if not opened.nodes_by_number and opened.executing is None:
-            reason = REPEAT_BUDGET if opened.n_budget_declines else "no-target"
-            yield from self._give_up(opened, reason, now)
+        if opened.nodes_by_number or opened.executing is not None:
+            return
+        if self._may_return(opened, now):
+            opened.asked_nodes.clear()
+            opened.ask_more_at_s = now + ASK_AGAIN_S
+        else:
+            yield from self._give_up(opened, opened.decline_reason, now)
+
+    def _may_return(self, opened: OpenRequest, now: float) -> bool:
+        """Tell whether a target is likely to come back while the request can wait."""
+        request = opened.request
+        return (
+            not opened.n_final_declines
+            and self._fleet.n_targets(request.service) > len(opened.tried_nodes)
+            and now < request.opened_at_s + NO_TARGET_WAIT_S
+            and now < self._last_start_s(opened)
+            and now < self._stop_waiting_at_s
+        )
 
     def _may_probe(self, opened: OpenRequest) -> bool:
         route = opened.request.route
@@ -188,10 +209,12 @@
     def _note_decline(
         self, opened: OpenRequest, reason: str, now: float
     ) -> Iterator[NamedTuple]:
-        """Ask others, unless the service's repeats are used up in all likelihood."""
-        opened.n_budget_declines += reason == REPEAT_BUDGET
-        if opened.n_budget_declines >= MAX_BUDGET_DECLINES:
-            yield from self._give_up(opened, REPEAT_BUDGET, now)
+        """Ask others, unless they would give the same reason in all likelihood."""
+        if reason in FINAL_REASONS:
+            opened.n_final_declines += 1
+            opened.decline_reason = reason
+        if opened.n_final_declines >= MAX_FINAL_DECLINES:
+            yield from self._give_up(opened, reason, now)
         else:
             yield from self._ask(opened, now)
 
--- a/src/heatherspur/dispatch/opened.py
+++ b/src/heatherspur/dispatch/opened.py
@@ -59,7 +59,8 @@
     :ivar n_handed: Attempts that count.
     :ivar was_handed: Whether the request may have run.
     :ivar resume_at_s: When to ask for the outcome again, after a lost link.
-    :ivar n_budget_declines: Exits that had no repeat left for it.
+    :ivar n_final_declines: Exits that gave a reason which holds for others as well.
+    :ivar decline_reason: The last such reason.
     :ivar fallback: Answer of a target to give if a repeat brings no better one.
     """
 
@@ -76,7 +77,8 @@
         self.executing: int | None = None
         self.executed_at_s = 0.0
         self.n_handed = 0
-        self.n_budget_declines = 0
+        self.n_final_declines = 0
+        self.decline_reason = "no-target"
         self.was_handed = False
         self.ask_more_at_s = now
         self.resume_at_s: float | None = None
--- a/src/heatherspur/dispatch/queue.py
+++ b/src/heatherspur/dispatch/queue.py
@@ -11,10 +11,18 @@
 
 from heatherspur.dispatch.budget import RepeatBudget
 from heatherspur.dispatch.conf import GRANT_TIMEOUT_S
+from heatherspur.dispatch.futility import FutileRoutes
 from heatherspur.dispatch.verdict import TargetVerdict
 from heatherspur.link import messages as m
 
-__all__ = ["REPEAT_BUDGET", "ReservationKey", "SlotReply", "TargetQueue", "Waiting"]
+__all__ = [
+    "FUTILE",
+    "REPEAT_BUDGET",
+    "ReservationKey",
+    "SlotReply",
+    "TargetQueue",
+    "Waiting",
+]
 
 # Until the first answers are in; typical of the users' services.
 DEFAULT_RUN_S = 0.3
@@ -23,6 +31,8 @@
 RECENT_SMOOTHING = 0.3
 # Expected wait told while a target is doubtful: longer than most objectives.
 DOUBTFUL_WAIT_MS = 3000
+# Reason of a decline: requests of this route run into their timeout here.
+FUTILE = "futile"
 # Reason of a decline: the target has got its share of the service's repeats.
 REPEAT_BUDGET = "repeat-budget"
 
@@ -49,6 +59,7 @@
     :param inner: Whether a target waits for the answer while it holds a slot.
     :param weight: Chance that it comes to use a slot here, from 0 to 1.
     :param is_repeat: Whether a target has got the request before.
+    :param route: Tag of the request's route.
     """
 
     key: ReservationKey
@@ -59,6 +70,7 @@
     inner: bool
     weight: float
     is_repeat: bool
+    route: int
 
 
 class SlotReply(NamedTuple):
@@ -77,24 +89,31 @@
 
     :param until_s: Clock reading at which it lapses.
     :param is_repeat: Whether a target has got the request before.
+    :param route: Tag of the request's route.
     """
 
     until_s: float
     is_repeat: bool
+    route: int
 
 
 class Running(NamedTuple):
     """A request at the target.
 
     :param started_at_s: Clock reading when it was handed over.
+    :param route: Tag of its route.
     """
 
     started_at_s: float
+    route: int
 
 
 class TargetQueue:
     """Slots and waiting list of the target beside this node.
 
+    Until ``starts_until_s`` a process that has just started does not know its target;
+    reservations wait for the target's first report.
+
     :param process: Random number of this process; part of each grant.
     :param budget: Repeats that the target may get.
     """
@@ -105,6 +124,8 @@
         self._budget = budget
         self.slots = 0
         self.accepting = False
+        self.starts_until_s = 0.0
+        self._futile_routes = FutileRoutes()
         self.verdict = TargetVerdict()
         self._waiting_by_key: dict[ReservationKey, Waiting] = {}
         self._granted_by_key: dict[ReservationKey, Granted] = {}
@@ -133,11 +154,9 @@
         :param waiting: The reservation.
         :param now: Clock reading in seconds.
         """
-        if not self.accepting:
-            yield SlotReply(waiting.key, m.Decline(waiting.key.number, "not-ready"))
-            return
-        if waiting.is_repeat and not self._budget.has_room(self.n_targets, now):
-            yield SlotReply(waiting.key, m.Decline(waiting.key.number, REPEAT_BUDGET))
+        reason = self._reason_to_decline(waiting, now)
+        if reason is not None:
+            yield SlotReply(waiting.key, m.Decline(waiting.key.number, reason))
             return
         self._waiting_by_key[waiting.key] = waiting
         yield from self.pump(now)
@@ -146,6 +165,15 @@
             queued = m.Queued(waiting.key.number, wait_ms, self._run_ms(now))
             yield SlotReply(waiting.key, queued)
 
+    def _reason_to_decline(self, waiting: Waiting, now: float) -> str | None:
+        if not self.accepting and now >= self.starts_until_s:
+            return "not-ready"
+        if waiting.is_repeat and not self._budget.has_room(self.n_targets, now):
+            return REPEAT_BUDGET
+        if not self._futile_routes.may_run(waiting.route, now):
+            return FUTILE
+        return None
+
     def _run_ms(self, now: float) -> int:
         """Return the time that a request takes here at present.
 
@@ -157,6 +185,8 @@
         return int(1000 * max(self._recent_run_s, oldest_s))
 
     def _expected_wait_ms(self, waiting: Waiting, now: float) -> int:
+        if not self.accepting:
+            return int(1000 * max(0.0, self.starts_until_s - now) / 2)
         if self.verdict.state == "doubtful":
             return DOUBTFUL_WAIT_MS
         rank = _rank(waiting, now, self._mean_run_s)
@@ -179,7 +209,9 @@
                 return
             del self._waiting_by_key[waiting.key]
             until_s = now + GRANT_TIMEOUT_S
-            self._granted_by_key[waiting.key] = Granted(until_s, waiting.is_repeat)
+            self._granted_by_key[waiting.key] = Granted(
+                until_s, waiting.is_repeat, waiting.route
+            )
             proven_ms = int((now - self.verdict.proven_at_s) * 1000)
             number, run_ms = waiting.key.number, self._run_ms(now)
             grant = m.Grant(number, proven_ms, run_ms, self.process)
@@ -208,9 +240,22 @@
             self._budget.take()
         else:
             self._budget.note_request()
-        self._running_by_key[key] = Running(now)
+        self._running_by_key[key] = Running(now, granted.route)
         return True
 
+    def note_end(self, key: ReservationKey, in_time: bool, now: float) -> None:
+        """Note whether a running request was answered or ran into its timeout.
+
+        :param key: Name of the reservation.
+        :param in_time: Whether it was answered.
+        :param now: Clock reading in seconds.
+        """
+        route = self._running_by_key[key].route
+        if in_time:
+            self._futile_routes.note_answer(route)
+        else:
+            self._futile_routes.note_timeout(route, now)
+
     def withdraw(self, key: ReservationKey, now: float) -> Iterator[SlotReply]:
         """Give up a reservation or an unused slot.
 
@@ -270,6 +315,8 @@
         for key, waiting in list(self._waiting_by_key.items()):
             if now >= waiting.until_s:
                 del self._waiting_by_key[key]
+        if not self.accepting and now >= self.starts_until_s:
+            yield from self.decline_all("not-ready")
         yield from self.pump(now)
 
 
--- a/src/heatherspur/dispatch/tests/builders.py
+++ b/src/heatherspur/dispatch/tests/builders.py
@@ -67,6 +67,7 @@
         target=anywhere,
         service="permits",
         store=StoreLimits(anywhere),
+        report_gap_s=1.5,
         grace_s=6.0,
         retry_ratio=0.2,
         retry_window_s=10.0,
@@ -108,6 +109,7 @@
         inner=False,
         weight=1.0,
         is_repeat=False,
+        route=7,
     )
     return waiting._replace(**changes)
 
--- a/src/heatherspur/dispatch/tests/test_queue.py
+++ b/src/heatherspur/dispatch/tests/test_queue.py
@@ -90,3 +90,57 @@
     _fill(queue)
     (reply,) = queue.reserve(make_waiting(2), 3.0)
     assert reply.message.run_ms == 3000
+
+
+def test_reservations_wait_for_the_first_report_of_a_target():
+    """Killed nodes refused all requests until their targets had reported."""
+    queue = make_queue(slots=0)
+    queue.accepting = False
+    queue.starts_until_s = 1.5
+    (reply,) = queue.reserve(make_waiting(1), 0.0)
+    assert isinstance(reply.message, m.Queued)
+    assert list(queue.tick(0.5)) == []
+    queue.slots, queue.accepting = 1, True
+    assert _granted(queue.pump(0.6)) == [1]
+
+
+def test_reservations_do_not_wait_for_a_target_that_stays_silent():
+    queue = make_queue(slots=0)
+    queue.accepting = False
+    queue.starts_until_s = 1.5
+    list(queue.reserve(make_waiting(1), 0.0))
+    assert [r.message.reason for r in queue.tick(1.5)] == ["not-ready"]
+
+
+def _run_into_timeout(queue, number, now) -> str:
+    (reply,) = queue.reserve(make_waiting(number, route=9), now)
+    if isinstance(reply.message, m.Decline):
+        return reply.message.reason
+    key = ReservationKey(1, number)
+    queue.start(key, now)
+    queue.note_end(key, False, now + 0.4)
+    list(queue.finish(key, False, now + 0.4))
+    return "ran"
+
+
+def test_route_whose_requests_all_run_into_their_timeout_holds_few_slots():
+    """54 requests of 1 s that could not end in time held a third of a service."""
+    queue = make_queue(slots=3)
+    outcomes = [_run_into_timeout(queue, i, i / 2) for i in range(20)]
+    assert outcomes[:2] == ["ran", "ran"]
+    assert outcomes.count("ran") <= 2 + 10 / 2
+    (other,) = queue.reserve(make_waiting(99, route=8), 10.0)
+    assert isinstance(other.message, m.Grant)
+
+
+def test_route_is_tried_again_and_comes_back_after_an_answer():
+    queue = make_queue(slots=3)
+    assert [_run_into_timeout(queue, i, i / 2) for i in range(3)][-1] == "futile"
+    (reply,) = queue.reserve(make_waiting(50, route=9), 5.0)
+    assert isinstance(reply.message, m.Grant)
+    queue.start(reply.key, 5.0)
+    queue.note_end(reply.key, True, 5.1)
+    list(queue.finish(reply.key, True, 5.1))
+    for number in (51, 52):
+        (reply,) = queue.reserve(make_waiting(number, route=9), 5.2)
+        assert isinstance(reply.message, m.Grant)
--- a/src/heatherspur/dispatch/types.py
+++ b/src/heatherspur/dispatch/types.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from heatherspur.core import Address
+from heatherspur.core import Address, stable_hash
 from heatherspur.http import Field
 
 __all__ = [
@@ -16,6 +16,9 @@
     "TargetBeat",
 ]
 
+# Three bytes on the wire; two routes that share a tag are judged together.
+ROUTE_TAGS = 65536
+
 
 class Part(NamedTuple):
     """One service that a route's requests may go to.
@@ -54,6 +57,11 @@
     priority: int
     open: bool
 
+    @property
+    def tag(self) -> int:
+        """Short number that stands for the route in messages between nodes."""
+        return stable_hash(self.name) % ROUTE_TAGS
+
 
 class Customer(NamedTuple):
     """Whom a request runs for.
@@ -149,6 +157,7 @@
     :param target: Address of the target beside this node.
     :param service: Service of the target beside this node.
     :param store: The platform's store.
+    :param report_gap_s: Time between two reports of the target, in seconds.
     :param grace_s: Time from the stop signal to the kill, in seconds.
     :param retry_ratio: Repeats that a service may get, relative to its requests.
     :param retry_window_s: Window over which repeats are counted, in seconds.
@@ -164,6 +173,7 @@
     target: Address
     service: str
     store: StoreLimits
+    report_gap_s: float
     grace_s: float
     retry_ratio: float
     retry_window_s: float
--- a/src/heatherspur/link/reservations.py
+++ b/src/heatherspur/link/reservations.py
@@ -33,6 +33,7 @@
     :param inner: Whether a target waits for the answer while it holds a slot.
     :param n_asked: Number of exits asked for the same request.
     :param is_repeat: Whether a target has got the request before.
+    :param route: Tag of the request's route.
     """
 
     number: int
@@ -44,6 +45,7 @@
     inner: bool
     n_asked: int
     is_repeat: bool
+    route: int
 
 
 class Queued(NamedTuple):
--- a/src/heatherspur/platform/wire.py
+++ b/src/heatherspur/platform/wire.py
@@ -44,6 +44,7 @@
 DEFAULT_ATTEMPTS = 1
 DEFAULT_PRIORITY = 3
 DEFAULT_TIMEOUT = "10s"
+DEFAULT_HEARTBEAT = "1500ms"
 
 
 class WireError(HeatherspurError):
@@ -89,6 +90,7 @@
                 target=parse_address(fields["app_addr"]),
                 service=fields["service"],
                 store=StoreLimits(parse_address(fields["provider"]["address"])),
+                report_gap_s=duration_s(fields.get("heartbeat") or DEFAULT_HEARTBEAT),
                 grace_s=duration_s(bounds["grace"]),
                 retry_ratio=float(bounds["retry_budget_ratio"]),
                 retry_window_s=duration_s(bounds["budget_window"]),
--- a/src/heatherspur/sidecar/app.py
+++ b/src/heatherspur/sidecar/app.py
@@ -49,6 +49,9 @@
 # The last sixth of the time to the kill is left for the answers to arrive.
 STOP_SHARE = 5 / 6
 SETTINGS_CHECK_S = 1.0
+# Callers try to connect for a second; the first reads of the store take a few
+# hundredths of one.
+FIRST_LISTEN_S = 1.0
 METRICS_PORT = 9464
 
 logger = logging.getLogger("heatherspur.node")
@@ -70,6 +73,8 @@
         self._data = path.read_bytes()
         self._next_check_s = now_s() + SETTINGS_CHECK_S
         self._stopping_since_s: float | None = None
+        self._listens = False
+        self._listen_at_s = now_s() + FIRST_LISTEN_S
         self._table: RoutingTable | None = None
         self._members_known = False
         self._beat: TargetBeat | None = None
@@ -101,18 +106,34 @@
         settings = self._settings
         try:
             self._hub.listen(settings.links)
-            self._front.listen(settings.callers)
             self._control.listen(settings.control)
             self._control.listen(settings.readiness)
             self._control.listen(Address(settings.links.host, METRICS_PORT))
         except OSError as error:
-            extra = {"step": "listen", "reason": str(error)}
-            logger.error("node: address can't be bound", extra=extra)
-            raise SystemExit(1) from error
+            self._end_unbound(error)
         self._links.open_local()
         extra = {"zone": settings.zone, "service": settings.service}
         logger.info("node: started", extra=extra)
 
+    def _end_unbound(self, error: OSError) -> None:
+        extra = {"step": "listen", "reason": str(error)}
+        logger.error("node: address can't be bound", extra=extra)
+        raise SystemExit(1) from error
+
+    def _listen_for_callers(self) -> None:
+        """Let callers connect, as soon as their requests can be served.
+
+        A caller whose connection is refused tries again at once, one that is told 503
+        mostly does not; only a start that takes long is worth a word.
+        """
+        if self._listens:
+            return
+        self._listens = True
+        try:
+            self._front.listen(self._settings.callers)
+        except OSError as error:
+            self._end_unbound(error)
+
     def _is_ready(self) -> bool:
         is_stopping = self._stopping_since_s is not None
         return self._table is not None and self._members_known and not is_stopping
@@ -237,6 +258,9 @@
 
     @handler("tick", channel="*")
     def _on_tick(self, now):
+        is_known = self._table is not None and self._members_known
+        if is_known or now >= self._listen_at_s:
+            self._listen_for_callers()
         if now >= self._next_check_s:
             self._next_check_s = now + SETTINGS_CHECK_S
             self._check_settings_file()
--- a/src/heatherspur/sidecar/exit.py
+++ b/src/heatherspur/sidecar/exit.py
@@ -45,6 +45,9 @@
 STATUS_SERVER_ERROR = 500
 STATUS_SUCCESS_END = 300
 STATUS_MISDIRECTED = 421
+STATUS_TIMEOUT = 504
+# A target gives up at the deadline that it was told, in whole milliseconds.
+LATE_MARGIN_S = 0.05
 
 logger = logging.getLogger("heatherspur.exit")
 
@@ -73,6 +76,7 @@
             now_s(),
         )
         self._slots = TargetQueue(secrets.randbits(PROCESS_BITS), budget)
+        self._slots.starts_until_s = now_s() + settings.report_gap_s
         self._target = ""
         self._address: Address = settings.target
         self._stopping = False
@@ -104,10 +108,11 @@
         self._set_accepting(beat.ready and not self._stopping)
 
     def _set_accepting(self, accepting: bool) -> None:
-        if self._slots.accepting == accepting:
-            return
+        self._slots.starts_until_s = 0.0
         self._slots.accepting = accepting
-        if not accepting:
+        if accepting:
+            self._send(self._slots.pump(now_s()))
+        else:
             self._send(self._slots.decline_all("not-ready"))
 
     @handler("received")
@@ -140,6 +145,7 @@
             inner=message.inner,
             weight=1 / max(1, message.n_asked),
             is_repeat=message.is_repeat,
+            route=message.route,
         )
         self._send(self._slots.reserve(waiting, now))
 
@@ -308,6 +314,11 @@
             self._slots.verdict.note_error(now)
         else:
             self._slots.verdict.note_success(request.started_at_s)
+        is_late = now >= request.until_s - LATE_MARGIN_S
+        if request.status == STATUS_TIMEOUT and is_late:
+            self._slots.note_end(request.key, False, now)
+        elif request.status < STATUS_SUCCESS_END:
+            self._slots.note_end(request.key, True, now)
         self._release(connection, now, ran=True)
         self._idle.put_back(connection, marks.idle_timeout_s, now)
         inputs = {
@@ -403,6 +414,7 @@
         self.expire_connects(now)
         for connection in list(self._connections_by_key.values()):
             if connection.request.is_sent and now >= connection.request.until_s:
+                self._slots.note_end(connection.request.key, False, now)
                 self._fail(connection, "timeout")
         self._send(self._slots.tick(now))
         self._history.expire(now)
