Refuse reports of other writers and of other services

Cause: found by reading. Fields of another type were converted (a text as the time of birth, a truth value as slots), and a report that names another service opened the node for this service's requests. Change: fields are checked as they are; a report without a sequence or with another service is answered 400 and logged.

--- /dev/null
+++ b/src/heatherspur/platform/tests/test_wire.py
@@ -0,0 +1,62 @@
+"""Reports of targets and of other writers, decoded."""
+
+import pytest
+
+from heatherspur.platform.tests.builders import MISSING, make_report
+from heatherspur.platform.wire import decode_beat
+
+
+def _decode(data: bytes, gone: bool = False):
+    return decode_beat("t1", data, gone, "10.0.0.1:5000")
+
+
+def test_report_is_decoded():
+    beat = _decode(make_report()).ok_value
+    assert (beat.target, beat.service, beat.slots, beat.ready) == (
+        "t1",
+        "permits",
+        3,
+        True,
+    )
+    assert (beat.born_ms, beat.sequence) == (1700000000000, 4)
+
+
+@pytest.mark.parametrize(
+    ("path", "value"),
+    [
+        (("born",), "1700000000000"),
+        (("born",), 1.5),
+        (("born",), True),
+        (("born",), -1),
+        (("address",), "nowhere"),
+        (("address",), 7),
+        (("info",), MISSING),
+        (("info",), [1]),
+        (("info", "service"), MISSING),
+        (("info", "service"), ""),
+        (("info", "service"), 5),
+        (("info", "slots"), "3"),
+        (("info", "slots"), 0),
+        (("info", "slots"), None),
+        (("status",), "ready"),
+        (("status", "state"), "asleep"),
+        (("status", "state"), MISSING),
+        (("status", "sequence"), "4"),
+        (("status", "sequence"), MISSING),
+        (("status", "cold"), 5),
+    ],
+)
+def test_report_of_another_writer_is_refused(path, value):
+    decoded = _decode(make_report(*path, value=value))
+    assert decoded.is_err()
+    assert decoded.err_value.peer == "10.0.0.1:5000"
+
+
+@pytest.mark.parametrize("data", [b"{", b"[]", b'"x"', b"\xff", b"null"])
+def test_report_that_cannot_be_read_is_refused(data):
+    assert _decode(data).is_err()
+
+
+def test_last_word_may_be_empty():
+    beat = _decode(b"", gone=True).ok_value
+    assert (beat.gone, beat.ready, beat.born_ms) == (True, False, 0)
--- a/src/heatherspur/platform/wire.py
+++ b/src/heatherspur/platform/wire.py
@@ -185,6 +185,19 @@
     return parse_address(value) if value else None
 
 
+def _whole(value: Any, least: int = 0) -> int:
+    """Return a whole number; a text, a fraction or a truth value is none."""
+    if type(value) is not int or value < least:
+        raise ValueError(f"{value!r} is no whole number from {least} on")
+    return value
+
+
+def _name(value: Any) -> str:
+    if not isinstance(value, str) or not value:
+        raise ValueError(f"{value!r} is no name")
+    return value
+
+
 def decode_beat(
     target: str, data: bytes, gone: bool, peer: str
 ) -> Result[TargetBeat, WireError]:
@@ -205,11 +218,13 @@
         return Ok(
             TargetBeat(
                 target=target,
-                born_ms=int(fields.get("born") or 0),
-                sequence=int(status.get("sequence") or 0),
+                born_ms=_whole(fields.get("born", 0)),
+                sequence=_whole(
+                    status.get("sequence", 0) if gone else status["sequence"]
+                ),
                 address=_address(fields.get("address")),
-                service=info.get("service", "") if gone else info["service"],
-                slots=int(info.get("slots") or 0) if gone else int(info["slots"]),
+                service=info.get("service", "") if gone else _name(info["service"]),
+                slots=0 if gone else _whole(info["slots"], least=1),
                 ready=not gone and status["state"] == "ready",
                 cold_s=duration_s(status.get("cold") or "0ms"),
                 gone=gone,
--- a/src/heatherspur/sidecar/app.py
+++ b/src/heatherspur/sidecar/app.py
@@ -92,7 +92,9 @@
             settings, self._fleet, self._links, self._metrics
         ).register(self)
         self._exit = SidecarExit(settings, self._fleet, self._metrics).register(self)
-        self._control = ControlServer(self._is_ready, self._render).register(self)
+        self._control = ControlServer(
+            settings.service, self._is_ready, self._render
+        ).register(self)
         topics = (CONFIG_TOPIC, MEMBERS_TOPIC)
         self._store = KeyedHub(settings.store.address, topics).register(self)
         SidecarFeed(self._fleet, self._links, self._store, topics).register(self)
--- a/src/heatherspur/sidecar/control.py
+++ b/src/heatherspur/sidecar/control.py
@@ -60,14 +60,19 @@
 class ControlServer(StreamHub):
     """Takes reports of the target; tells whether the node is ready.
 
+    :param service: Service of the target beside this node.
     :param is_ready: Tells whether callers may send requests.
     :param metrics: Returns the metrics as text and their content type.
     """
 
     def __init__(
-        self, is_ready: Callable[[], bool], metrics: Callable[[], tuple[bytes, str]]
+        self,
+        service: str,
+        is_ready: Callable[[], bool],
+        metrics: Callable[[], tuple[bytes, str]],
     ) -> None:
         super().__init__(channel="control")
+        self._service = service
         self._is_ready = is_ready
         self._metrics = metrics
         self._reports = TargetReports()
@@ -139,6 +144,11 @@
             logger.warning("control: report skipped", extra=extra)
             return Page(400, JSON, b"{}")
         beat: TargetBeat = decoded.ok_value
+        if not beat.gone and beat.service != self._service:
+            # A target of another service must not get this service's requests.
+            extra = {"target": target, "peer": peer, "service": beat.service}
+            logger.warning("control: report of another service skipped", extra=extra)
+            return Page(400, JSON, b"{}")
         last = self._reports.last
         if self._reports.take(beat):
             self._use(self._reports.last, last)
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -1,6 +1,7 @@
 """Nodes on the stand-ins of the users' platform: what must hold."""
 
 import concurrent.futures
+import json
 import signal
 import socket
 import time
@@ -113,7 +114,12 @@
 def test_malformed_records_and_reports_change_nothing(site):
     site.put_config({"version": "r9", "routes": "none"})
     host = site.hosts[0]
-    for body in (b"{", b"[]", b'{"status":{"state":"odd"}}'):
+    other = {
+        "born": 9_999_999_999_999,
+        "info": {"service": "trails", "slots": 3},
+        "status": {"state": "ready", "sequence": 1},
+    }
+    for body in (b"{", b"[]", b'{"status":{"state":"odd"}}', json.dumps(other)):
         url = host.url("control") + "/instances/x/heartbeat"
         assert site.client.post(url, content=body).status_code == 400
     time.sleep(0.5)
