Soak: harm the ways to the store and to the targets; slow store

Cause: the soak cut only the way to the store. Change: a relay also before each target; delays, resets, and connections that go silent while new ones work; a slow store; three overlapping series.

--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -2,9 +2,11 @@
 
     python -m tests.soak.run --seeds 5 --seconds 20
 
-Real processes on loopback, faults from outside in overlapping series: signals, cuts of
-the way to the store by a relay, outages and lost replies of the store, gray targets,
-new configurations. The promises are checked from what callers and targets see.
+Real processes on loopback, faults from outside in overlapping series: signals; one-way
+cuts, delays, resets and silence of the ways to the store and to the targets, by relays;
+outages, slow answers and lost replies of the store; gray targets; new configurations.
+The promises are checked from what callers and targets see. Clocks that jump are left
+out: a node reads the time of day for the stamps of its log only.
 """
 
 import argparse
@@ -22,13 +24,34 @@
 import httpx
 
 from tests.standins.relay import Relay
-from tests.standins.site import KEY, Host, Site, make_config
+from tests.standins.site import KEY, TARGET_PORT, Host, Site, make_config
 
 N_CALLERS = 6
 HOSTS = (("a", "permits"), ("a", "permits"), ("b", "permits"), ("b", "permits"))
 PROMISES_NOT_RUN = (408, 421, 429, 503)
 RECOVERY_S = 15.0
 MIN_SERVED_AFTER = 0.9
+KINDS = (
+    "kill",
+    "term",
+    "pause",
+    "hup",
+    "cut",
+    "delay",
+    "reset",
+    "silence",
+    "down",
+    "slow",
+    "lost",
+    "gray",
+    "config",
+)
+STORE_FAULTS = {
+    "down": {"down": True},
+    "slow": {"delay_s": 0.3},
+    "lost": {"lose_replies": 3},
+}
+N_TROUBLE_SERIES = 3
 GRAY_MODES = ("reset", "truncate", "garbage", "unsigned", "error", "shed", "extra")
 
 
@@ -50,7 +73,8 @@
         self.n_faults: Counter[str] = Counter()
         self.running = True
         self.version = 1
-        self.relays: dict[str, Relay] = {}
+        self.store_relays: dict[str, Relay] = {}
+        self.target_relays: dict[str, Relay] = {}
 
     def call(self, number: int) -> None:
         """Send requests over connections that stay open, as callers do."""
@@ -95,9 +119,7 @@
         """Bring one fault about and undo it after a while."""
         rng, site = self.rng, self.site
         host = rng.choice(site.hosts)
-        kind = rng.choice(
-            ("kill", "term", "pause", "hup", "cut", "down", "lost", "gray", "config")
-        )
+        kind = rng.choice(KINDS)
         self.n_faults[kind] += 1
         length_s = rng.uniform(0.2, 3.0)
         if kind in ("kill", "term"):
@@ -109,11 +131,9 @@
             site.signal(host, signal.SIGSTOP)
             time.sleep(length_s)
             site.signal(host, signal.SIGCONT)
-        elif kind == "cut":
-            way = rng.choice(({"to": True}, {"back": True}, {"to": True, "back": True}))
-            self.relays[host.name].stall(**way)
-            time.sleep(length_s)
-            self.relays[host.name].stall()
+        elif kind in ("cut", "delay", "reset", "silence"):
+            relays = rng.choice((self.store_relays, self.target_relays))
+            self._harm(relays[host.name], kind, length_s)
         elif kind == "config":
             self.version += 1
             with contextlib.suppress(httpx.HTTPError):  # the store may be away
@@ -123,10 +143,25 @@
             time.sleep(length_s)
             site.control(host, mode="good")
         else:
-            faults = {"down": {"down": True}, "lost": {"lose_replies": 3}}
-            site.store_faults(**faults[kind])
+            site.store_faults(**STORE_FAULTS[kind])
             time.sleep(length_s)
-            site.store_faults(down=False, lose_replies=0)
+            site.store_faults(down=False, delay_s=0.0, lose_replies=0)
+
+    def _harm(self, relay: Relay, kind: str, length_s: float) -> None:
+        """Harm the connections of one relay for a while."""
+        if kind == "cut":
+            ways = ({"to": True}, {"back": True}, {"to": True, "back": True})
+            relay.stall(**self.rng.choice(ways))
+            time.sleep(length_s)
+            relay.stall()
+        elif kind == "delay":
+            relay.delay_s = self.rng.uniform(0.01, 0.2)
+            time.sleep(length_s)
+            relay.delay_s = 0.0
+        elif kind == "reset":
+            relay.reset()
+        else:
+            relay.drop()
 
     def trouble(self) -> None:
         while self.running:
@@ -138,7 +173,9 @@
         threads = [
             threading.Thread(target=self.call, args=(i,)) for i in range(N_CALLERS)
         ]
-        threads += [threading.Thread(target=self.trouble) for _ in range(2)]
+        threads += [
+            threading.Thread(target=self.trouble) for _ in range(N_TROUBLE_SERIES)
+        ]
         for thread in threads:
             thread.start()
         time.sleep(seconds)
@@ -186,15 +223,18 @@
     with Site(folder, HOSTS) as site:
         soak = Soak(site, seed)
         for host in site.hosts:
-            soak.relays[host.name] = Relay(site.store)
-        site.stores_by_host = {n: r.address for n, r in soak.relays.items()}
+            soak.store_relays[host.name] = Relay(site.store)
+            soak.target_relays[host.name] = Relay(f"{host.ip}:{TARGET_PORT}")
+        site.stores_by_host = {n: r.address for n, r in soak.store_relays.items()}
+        site.targets_by_host = {n: r.address for n, r in soak.target_relays.items()}
         try:
             site.start()
             broken = soak.run(seconds)
         finally:
             soak.running = False
-            for relay in soak.relays.values():
-                relay.stop()
+            for relays in (soak.store_relays, soak.target_relays):
+                for relay in relays.values():
+                    relay.stop()
     return soak, [f"{line} (logs: {folder})" for line in broken]
 
 
--- a/tests/standins/platform_target.py
+++ b/tests/standins/platform_target.py
@@ -145,7 +145,7 @@
     )
     server = await serve(target.handle, arguments.host, arguments.port)
     port = server.sockets[0].getsockname()[1]
-    target.address = f"{arguments.host}:{port}"
+    target.address = arguments.told or f"{arguments.host}:{port}"
     print(json.dumps({"port": port}), flush=True)
     await asyncio.gather(server.serve_forever(), target.report())
 
@@ -154,6 +154,7 @@
     parser = argparse.ArgumentParser()
     parser.add_argument("--host", default="127.0.0.1")
     parser.add_argument("--port", type=int, default=0)
+    parser.add_argument("--told", default="", help="address to report in its place")
     for name in ("name", "service", "zone", "control"):
         parser.add_argument(f"--{name}", required=True)
     asyncio.run(main(parser.parse_args()))
--- a/tests/standins/relay.py
+++ b/tests/standins/relay.py
@@ -1,11 +1,15 @@
-"""A TCP relay on loopback that can stall either way, as a one-way cut does."""
+"""A TCP relay on loopback that can stall either way, delay, reset and go silent."""
 
+import collections
 import contextlib
 import selectors
 import socket
+import struct
 import threading
+import time
 
 READ_SIZE_BYTES = 65536
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 class Relay:
@@ -23,6 +27,9 @@
         self._selector.register(self._listener, selectors.EVENT_READ, None)
         self.to_stalled = False
         self.from_stalled = False
+        self.delay_s = 0.0
+        self._resets = False
+        self._delayed: collections.deque = collections.deque()
         self._mute: set[socket.socket] = set()
         self._running = True
         self._thread = threading.Thread(target=self._loop, daemon=True)
@@ -37,6 +44,10 @@
         keys = list(self._selector.get_map().values())
         self._mute = {key.fileobj for key in keys if key.data and key.data[1]}
 
+    def reset(self) -> None:
+        """Reset the present connections on both sides."""
+        self._resets = True
+
     def stop(self) -> None:
         self._running = False
         self._thread.join()
@@ -45,12 +56,32 @@
 
     def _loop(self) -> None:
         while self._running:
-            for key, _ in self._selector.select(0.02):
+            if self._resets:
+                self._resets = False
+                self._reset_all()
+            self._send_delayed()
+            for key, _ in self._selector.select(0.005 if self._delayed else 0.02):
                 if key.data is None:
                     self._accept()
                 else:
                     self._pass(key.fileobj, *key.data)
 
+    def _reset_all(self) -> None:
+        for key in list(self._selector.get_map().values()):
+            if key.data is not None:
+                self._selector.unregister(key.fileobj)
+                with contextlib.suppress(OSError):
+                    key.fileobj.setsockopt(
+                        socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+                    )
+                key.fileobj.close()
+
+    def _send_delayed(self) -> None:
+        while self._delayed and self._delayed[0][0] <= time.monotonic():
+            _, sink, data = self._delayed.popleft()
+            with contextlib.suppress(OSError):
+                sink.sendall(data)
+
     def _accept(self) -> None:
         near, _ = self._listener.accept()
         try:
@@ -72,7 +103,11 @@
             data = source.recv(READ_SIZE_BYTES)
             if not is_towards and sink in self._mute:
                 return
-            sink.sendall(data)
+            if data and (self.delay_s or self._delayed):
+                at_s = time.monotonic() + self.delay_s
+                self._delayed.append((at_s, sink, data))
+            else:
+                sink.sendall(data)
         if not data:
             for sock in (source, sink):
                 with contextlib.suppress(KeyError, ValueError):
--- a/tests/standins/site.py
+++ b/tests/standins/site.py
@@ -91,6 +91,7 @@
         ]
         self.store = ""
         self.stores_by_host: dict[str, str] = {}
+        self.targets_by_host: dict[str, str] = {}
         self.processes_by_name: dict[str, subprocess.Popen] = {}
         self._ids = itertools.count(1)
         self.client = httpx.Client(timeout=10)
@@ -152,6 +153,7 @@
             "service": host.service,
             "zone": host.zone,
             "control": f"{host.ip}:{PORTS['control']}",
+            "told": self.targets_by_host.get(host.name, ""),
         }
         flags = [f"--{name}={value}" for name, value in flags.items()]
         self._standin("platform_target", f"t-{host.name}", *flags)
@@ -161,7 +163,7 @@
             "node": host.name,
             "zone": host.zone,
             "listen": {name: f"{host.ip}:{port}" for name, port in PORTS.items()},
-            "app_addr": f"{host.ip}:{TARGET_PORT}",
+            "app_addr": self.targets_by_host.get(host.name, f"{host.ip}:{TARGET_PORT}"),
             "service": host.service,
             "provider": {"address": self.stores_by_host.get(host.name, self.store)},
             "bounds": list(BOUNDS),
