Do not hold requests for doubtful targets alone; read members less often

Tests: test_request_is_not_held_for_doubtful_targets_alone, test_requests_of_a_futile_route_that_wait_are_declined.

--- a/src/heatherspur/dispatch/dispatcher.py
+++ b/src/heatherspur/dispatch/dispatcher.py
@@ -201,9 +201,7 @@
         if opened.executing == message.number:
             # The slot lapsed while the request was on its way; it will not run.
             yield from self._on_not_executed(opened, node, "grant-expired", False, now)
-        elif opened.executing is None and opened.grants_by_number:
-            yield from self._use_grant(opened, now)
-        elif opened.executing is None and not opened.nodes_by_number:
+        elif opened.executing is None:
             yield from self._note_decline(opened, message.reason, now)
 
     def _note_decline(
@@ -213,10 +211,14 @@
         if reason in FINAL_REASONS:
             opened.n_final_declines += 1
             opened.decline_reason = reason
-        if opened.n_final_declines >= MAX_FINAL_DECLINES:
+        if opened.grants_by_number:
+            yield from self._use_grant(opened, now)
+        elif opened.n_final_declines >= MAX_FINAL_DECLINES:
             yield from self._give_up(opened, reason, now)
-        else:
+        elif not opened.nodes_by_number:
             yield from self._ask(opened, now)
+        elif len(opened.waits_by_number) == len(opened.nodes_by_number):
+            yield from self._review(opened, now)
 
     @receive.register
     def _on_grant(self, message: m.Grant, node: str, now: float):
--- a/src/heatherspur/dispatch/futility.py
+++ b/src/heatherspur/dispatch/futility.py
@@ -15,7 +15,7 @@
 
     def __init__(self) -> None:
         self._n_by_route: dict[int, int] = {}
-        self._next_probe_by_route: dict[int, float] = {}
+        self._next_try_by_route: dict[int, float] = {}
 
     def note_timeout(self, route: int, now: float) -> None:
         """Count a request that ran until its timeout.
@@ -24,7 +24,7 @@
         :param now: Clock reading in seconds.
         """
         self._n_by_route[route] = self._n_by_route.get(route, 0) + 1
-        self._next_probe_by_route[route] = now + FUTILE_PROBE_GAP_S
+        self._next_try_by_route[route] = now + FUTILE_PROBE_GAP_S
 
     def note_answer(self, route: int) -> None:
         """Count a request that was answered in time.
@@ -32,17 +32,22 @@
         :param route: Tag of its route.
         """
         self._n_by_route.pop(route, None)
-        self._next_probe_by_route.pop(route, None)
+        self._next_try_by_route.pop(route, None)
 
-    def may_run(self, route: int, now: float) -> bool:
-        """Tell whether a request may try the target; one does now and then.
+    def is_futile(self, route: int, now: float) -> bool:
+        """Tell whether a request would run into its timeout, as far as is known.
 
         :param route: Tag of its route.
         :param now: Clock reading in seconds.
         """
-        if self._n_by_route.get(route, 0) < N_FUTILE:
-            return True
-        if now < self._next_probe_by_route[route]:
-            return False
-        self._next_probe_by_route[route] = now + FUTILE_PROBE_GAP_S
-        return True
+        is_known = self._n_by_route.get(route, 0) >= N_FUTILE
+        return is_known and now < self._next_try_by_route[route]
+
+    def note_start(self, route: int, now: float) -> None:
+        """Note a request that tries the target; the next one does later.
+
+        :param route: Tag of its route.
+        :param now: Clock reading in seconds.
+        """
+        if route in self._n_by_route:
+            self._next_try_by_route[route] = now + FUTILE_PROBE_GAP_S
--- a/src/heatherspur/dispatch/queue.py
+++ b/src/heatherspur/dispatch/queue.py
@@ -177,7 +177,7 @@
             return REPEAT_BUDGET
         if self._would_starve(waiting, now):
             return NO_ROOM
-        if not self._futile_routes.may_run(waiting.route, now):
+        if self._futile_routes.is_futile(waiting.route, now):
             return FUTILE
         return None
 
@@ -221,6 +221,7 @@
             if waiting is None:
                 return
             del self._waiting_by_key[waiting.key]
+            self._futile_routes.note_start(waiting.route, now)
             if self._is_late(waiting, now):
                 self._starvation.note_grant(waiting.priority)
             until_s = now + GRANT_TIMEOUT_S
@@ -318,6 +319,12 @@
                 del by_key[key]
         yield from self.pump(now)
 
+    def _decline_futile(self, now: float) -> Iterator[SlotReply]:
+        for key, waiting in list(self._waiting_by_key.items()):
+            if self._futile_routes.is_futile(waiting.route, now):
+                del self._waiting_by_key[key]
+                yield SlotReply(key, m.Decline(key.number, FUTILE))
+
     def _is_late(self, waiting: Waiting, now: float) -> bool:
         return not waiting.inner and _is_late(waiting, now, self._mean_run_s)
 
@@ -348,6 +355,7 @@
             yield from self.decline_all("not-ready")
         yield from self.pump(now)
         yield from self._decline_starved(now)
+        yield from self._decline_futile(now)
 
 
 def _rank(waiting: Waiting, now: float, run_s: float) -> tuple:
--- a/src/heatherspur/dispatch/tests/test_dispatcher.py
+++ b/src/heatherspur/dispatch/tests/test_dispatcher.py
@@ -243,3 +243,16 @@
             break
     assert finished.status == 503
     assert finished.retry_after_s > 0
+
+
+def test_request_is_not_held_for_doubtful_targets_alone():
+    """Declined by the sound ones, requests waited for gray targets until the end."""
+    dispatcher = make_dispatcher(make_member(2), make_member(3))
+    gray, sound = _sent(dispatcher.open(make_request(route=ONCE), 0.0), m.Reserve)
+    doubtful = m.Queued(gray.message.number, 3000, 300)
+    busy = m.Queued(sound.message.number, 400, 300)
+    assert _finished(dispatcher.receive(doubtful, gray.node, 0.01)) is None
+    assert _finished(dispatcher.receive(busy, sound.node, 0.01)) is None
+    decline = m.Decline(sound.message.number, "no-room")
+    finished = _finished(dispatcher.receive(decline, sound.node, 1.5))
+    assert finished.status == 503
--- a/src/heatherspur/dispatch/tests/test_queue.py
+++ b/src/heatherspur/dispatch/tests/test_queue.py
@@ -144,3 +144,16 @@
     for number in (51, 52):
         (reply,) = queue.reserve(make_waiting(number, route=9), 5.2)
         assert isinstance(reply.message, m.Grant)
+
+
+def test_requests_of_a_futile_route_that_wait_are_declined():
+    queue = make_queue(slots=2)
+    for number in (1, 2):
+        (reply,) = queue.reserve(make_waiting(number, route=9), 0.0)
+        assert queue.start(reply.key, 0.0)
+    list(queue.reserve(make_waiting(3, route=9, priority=5), 0.1))
+    list(queue.reserve(make_waiting(4, route=8), 0.1))
+    for number in (1, 2):
+        queue.note_end(ReservationKey(1, number), False, 0.4)
+    declined = [r.key.number for r in queue.tick(0.4) if r.message[1:] == ("futile",)]
+    assert declined == [3]
--- a/src/heatherspur/ops/explain.py
+++ b/src/heatherspur/ops/explain.py
@@ -19,6 +19,7 @@
     "key-not-in-force": "its key was not in force",
     "stopping": "the node was about to end",
     "deadline": "its time was over before it could be sent",
+    "futile": "requests of its route run into their timeout at present",
     "repeat-budget": "the repeats allowed for its service were used up",
     "timeout": "the final answer was due before the target gave one",
     "target-lost": "the target closed or reset the connection without an answer",
--- a/src/heatherspur/platform/keyed.py
+++ b/src/heatherspur/platform/keyed.py
@@ -35,9 +35,10 @@
 # The first reads after a start or an outage are short: a read that the store took
 # while a record was being written may not be woken by it.
 FIRST_READ_WAIT_S = 0.5
-# Records that come in quick succession are read together; well below the bound
-# on configuration, which is 2 s.
-PAUSE_AFTER_RECORDS_S = 0.25
+# Records that come in quick succession are read together. The first topic has a bound
+# of 2 s; the others change most when many nodes start, and wait longer.
+FIRST_PAUSE_S = 0.25
+OTHER_PAUSE_S = 1.0
 # After an outage nodes are back within the 2 s that the store's users count on;
 # refused calls are priced too.
 MIN_RETRY_S = 0.3
@@ -278,7 +279,8 @@
             self._start_read(topic, now_s())
             return
         topic.offset = answer.records[-1].offset + 1
-        topic.next_try_at_s = now_s() + PAUSE_AFTER_RECORDS_S
+        is_first = topic is self._topics[0]
+        topic.next_try_at_s = now_s() + (FIRST_PAUSE_S if is_first else OTHER_PAUSE_S)
         records = tuple(self._decoded(topic, answer.records))
         self.fire(records_read(topic.name, records, topic.offset, False), "*")
 
