Keep a customer's bucket where its owner changes back and forth

Cause: while an owner restarts, the others try it again after 0.25 s and more, so the owner changes back and forth; each change began with an empty bucket. Ruled out: filling the bucket while another node owns it (two bursts). Change: a former owner keeps its bucket as it is and goes on filling it when it owns it again. Test: owners that change every 0.3 to 2.5 s admit 90 to 100% of the rate (failed before, at all three gaps).

--- a/src/heatherspur/dispatch/quota.py
+++ b/src/heatherspur/dispatch/quota.py
@@ -3,9 +3,10 @@
 Load pattern: one customer sends many times its rate through all nodes at once. One
 node owns each customer's bucket, chosen by rendezvous hashing among the nodes that
 answer; the others ask it for a token a request. A new owner starts with an empty
-bucket, so that a change of owner hands out no second burst. A node that can't reach
-the owner admits from a small share of its own. A request whose token is due in a
-moment waits for it: most callers don't come back after a refusal.
+bucket, and one that stops being the owner keeps its bucket without filling it, so that
+a change of owner hands out no second burst, also where owners change back and forth.
+A node that can't reach the owner admits from a small share of its own. A request whose
+token is due in a moment waits for it: most callers don't come back after a refusal.
 """
 
 import itertools
@@ -58,6 +59,7 @@
     def __init__(self) -> None:
         self._customers_by_name: dict[str, Customer] = {}
         self._buckets_by_name: dict[str, Bucket] = {}
+        self._owned_names: set[str] = set()
 
     def set_customers(self, customers: Iterable[Customer], now: float) -> None:
         """Take the customers of the newest configuration.
@@ -66,24 +68,36 @@
         :param now: Clock reading in seconds.
         """
         self._customers_by_name = {customer.name: customer for customer in customers}
+        for name in self._buckets_by_name.keys() - self._customers_by_name.keys():
+            del self._buckets_by_name[name]
+            self._owned_names.discard(name)
         for name, bucket in self._buckets_by_name.items():
-            customer = self._customers_by_name.get(name)
-            if customer is not None:
-                bucket.resize(customer.rate, max(MIN_BURST, customer.burst), now)
+            customer = self._customers_by_name[name]
+            if name not in self._owned_names:
+                bucket.updated_at_s = now
+            bucket.resize(customer.rate, max(MIN_BURST, customer.burst), now)
 
     def own(self, names: Iterable[str], now: float) -> None:
-        """Keep buckets of just these customers.
+        """Fill the buckets of just these customers.
 
         :param names: Names of the customers.
         :param now: Clock reading in seconds.
         """
         names = set(names)
-        for name in names - self._buckets_by_name.keys():
-            customer = self._customers_by_name[name]
-            capacity = max(MIN_BURST, customer.burst)
-            self._buckets_by_name[name] = Bucket(customer.rate, capacity, now)
-        for name in self._buckets_by_name.keys() - names:
-            del self._buckets_by_name[name]
+        for name in self._owned_names - names:
+            self._buckets_by_name[name].refill(now)
+        for name in names - self._owned_names:
+            self._start_filling(name, now)
+        self._owned_names = names
+
+    def _start_filling(self, name: str, now: float) -> None:
+        bucket = self._buckets_by_name.get(name)
+        if bucket is not None:
+            bucket.updated_at_s = now
+            return
+        customer = self._customers_by_name[name]
+        capacity = max(MIN_BURST, customer.burst)
+        self._buckets_by_name[name] = Bucket(customer.rate, capacity, now)
 
     def lend(self, ask: m.TokenAsk, now: float) -> m.TokenGrant:
         """Answer a node that asks for tokens.
@@ -108,10 +122,9 @@
 
     def _bucket(self, name: str, now: float) -> Bucket | None:
         """Return a customer's bucket; one asked for early starts empty."""
-        if name not in self._buckets_by_name and name in self._customers_by_name:
-            customer = self._customers_by_name[name]
-            capacity = max(MIN_BURST, customer.burst)
-            self._buckets_by_name[name] = Bucket(customer.rate, capacity, now)
+        if name not in self._owned_names and name in self._customers_by_name:
+            self._start_filling(name, now)
+            self._owned_names.add(name)
         return self._buckets_by_name.get(name)
 
 
--- a/src/heatherspur/dispatch/tests/test_quota.py
+++ b/src/heatherspur/dispatch/tests/test_quota.py
@@ -1,9 +1,12 @@
 """Rates and bursts over all nodes together."""
 
+import pytest
+
 from heatherspur.dispatch.conf import MAX_TOKEN_WAIT_S
 from heatherspur.dispatch.quota import Admitted, OverLimit, QuotaClient, QuotaOwner
 from heatherspur.dispatch.tests.builders import make_customer
 from heatherspur.exchange import SendTo
+from heatherspur.link import messages as m
 
 NODES = ["10.0.0.1:80", "10.0.0.2:80", "10.0.0.3:80"]
 
@@ -82,6 +85,27 @@
     assert n_before + n_after <= 20 + 1
 
 
+@pytest.mark.parametrize("gap_s", [0.3, 1.0, 2.5])
+def test_owners_that_change_back_and_forth_admit_the_rate_and_no_more(gap_s):
+    """Buckets that began empty at each change refused customers within their rate."""
+    customer = make_customer(rate=10, burst=10)
+    owners = [QuotaOwner(), QuotaOwner()]
+    for owner in owners:
+        owner.set_customers([customer], 0.0)
+    n_admitted = 0
+    seconds, next_change_s, active = 30, 0.0, 0
+    for i in range(seconds * 100):
+        now = 10 + i / 100
+        if now - 10 >= next_change_s:
+            next_change_s += gap_s
+            active = 1 - active
+            owners[active].own([customer.name], now)
+            owners[1 - active].own([], now)
+        n_admitted += owners[active].lend(m.TokenAsk(i, 0, "inn", 1), now).amount
+    assert n_admitted <= customer.rate * (seconds + MAX_TOKEN_WAIT_S) + 2
+    assert n_admitted >= customer.rate * seconds * 0.9
+
+
 def test_lower_limit_binds_at_once():
     fleet = _Fleet(make_customer(rate=100, burst=100))
     low = make_customer(rate=2, burst=2)
