--- a/src/heatherspur/dispatch/dispatcher.py
+++ b/src/heatherspur/dispatch/dispatcher.py
@@ -12,6 +12,7 @@
 from functools import singledispatchmethod
 from typing import NamedTuple
 
+from heatherspur.dispatch import endings
 from heatherspur.dispatch.conf import (
     ASK_MORE_AFTER_S,
     COLLECT_S,
@@ -20,7 +21,7 @@
     RESUME_GAP_S,
 )
 from heatherspur.dispatch.fleet import FleetView
-from heatherspur.dispatch.opened import Decided, Finished, OpenRequest
+from heatherspur.dispatch.opened import Decided, OpenRequest
 from heatherspur.dispatch.placement import best_grant, choose_members
 from heatherspur.dispatch.queue import FUTILE, NO_ROOM, REPEAT_BUDGET
 from heatherspur.dispatch.types import FleetSettings, Request
@@ -30,18 +31,11 @@
 __all__ = ["Dispatcher"]
 
 STATUS_SERVER_ERROR = 500
-STATUS_BAD_GATEWAY = 502
-STATUS_UNAVAILABLE = 503
-STATUS_TIMEOUT = 504
 # Until the first answers are in; typical of the users' services.
 DEFAULT_RUN_S = 0.3
 RUN_SMOOTHING = 0.1
 # Two ways between zones and the reading of the answer, besides the run itself.
 MIN_START_MARGIN_S = 0.03
-# Callers come back on a new connection, which takes some milliseconds; most wait at
-# most a third of the time that they have left.
-MIN_RETRY_AFTER_S = 0.1
-MAX_RETRY_AFTER_S = 2.0
 # A node that is down is tried again after a quarter of a second.
 ASK_AGAIN_S = 0.25
 # Declines for a reason that is likely to hold at the other targets as well.
@@ -194,10 +188,7 @@
         opened = self._open_by_number.pop(message.number, None)
         if opened is None:
             return
-        opened.nodes_by_number.pop(message.number, None)
-        opened.waits_by_number.pop(message.number, None)
-        opened.grants_by_number.pop(message.number, None)
-        opened.awaited_numbers.discard(message.number)
+        opened.drop(message.number)
         if opened.executing == message.number:
             # The slot lapsed while the request was on its way; it will not run.
             yield from self._on_not_executed(opened, node, "grant-expired", False, now)
@@ -334,22 +325,8 @@
             yield Decided(request, "error of target", str(message.status), node, {})
             yield from self._repeat(opened, "target-error", now)
             return
-        yield from self._deliver(opened, message, now)
-
-    def _deliver(
-        self, opened: OpenRequest, answer: m.Answer, now: float
-    ) -> Iterator[NamedTuple]:
-        request = opened.request
         self._forget(opened)
-        inputs = {
-            "total_ms": round((now - request.opened_at_s) * 1000),
-            "run_ms": round((now - opened.executed_at_s) * 1000),
-            "status": answer.status,
-        }
-        yield Decided(request, "answered", "whole", "", inputs)
-        yield Finished(
-            request.exchange, answer.status, answer.fields, answer.body, 0.0, False
-        )
+        yield from endings.answered(opened, message, now)
 
     def _take_executing(self, number: int) -> OpenRequest | None:
         opened = self._open_by_number.get(number)
@@ -390,10 +367,7 @@
                 yield Decided(opened.request, "link lost", "asks again", node, {})
                 continue
             self._open_by_number.pop(number, None)
-            opened.nodes_by_number.pop(number, None)
-            opened.waits_by_number.pop(number, None)
-            opened.grants_by_number.pop(number, None)
-            opened.awaited_numbers.discard(number)
+            opened.drop(number)
             if opened.executing == number:
                 yield from self._lose(opened, node, "link-lost", now)
             elif opened.executing is None and opened.grants_by_number:
@@ -461,37 +435,11 @@
         self, opened: OpenRequest, reason: str, now: float
     ) -> Iterator[NamedTuple]:
         """Give the final answer when no target gave one."""
-        request = opened.request
         yield from self._withdraw_all(opened)
-        if opened.fallback is not None:
-            yield from self._deliver(opened, opened.fallback, now)
-            return
         self._forget(opened)
-        inputs = {
-            "waited_ms": round((now - request.opened_at_s) * 1000),
-            "n_asked": len(opened.asked_nodes),
-            "best_wait_ms": min(opened.waits_by_number.values(), default=-1),
-        }
-        if not opened.was_handed:
-            retry_after_s = self._retry_after_s(opened)
-            yield Decided(request, "not run", reason, "", inputs)
-            yield Finished(
-                request.exchange,
-                STATUS_UNAVAILABLE,
-                (),
-                f"not run: {reason}\n".encode(),
-                retry_after_s,
-                True,
-            )
-            return
-        status = STATUS_TIMEOUT if reason == "timeout" else STATUS_BAD_GATEWAY
-        yield Decided(request, "outcome unknown", reason, "", inputs)
-        body = f"outcome unknown: {reason}\n".encode()
-        yield Finished(request.exchange, status, (), body, 0.0, True)
-
-    def _retry_after_s(self, opened: OpenRequest) -> float:
-        """Return when room is expected, spread over those who come back."""
-        best_ms = min(opened.waits_by_number.values(), default=0)
-        expected_s = max(MIN_RETRY_AFTER_S, best_ms / 1000 / 2)
-        spread = 1 + self._rng.random() / 2
-        return min(MAX_RETRY_AFTER_S, expected_s * spread)
+        if opened.fallback is not None:
+            yield from endings.answered(opened, opened.fallback, now)
+        elif opened.was_handed:
+            yield from endings.unknown(opened, reason, now)
+        else:
+            yield from endings.not_run(opened, reason, self._rng, now)
--- a/src/heatherspur/dispatch/opened.py
+++ b/src/heatherspur/dispatch/opened.py
@@ -83,3 +83,18 @@
         self.ask_more_at_s = now
         self.resume_at_s: float | None = None
         self.fallback: m.Answer | None = None
+
+    @property
+    def best_wait_ms(self) -> int:
+        """Shortest wait that an exit told, in milliseconds; -1 if none did."""
+        return min(self.waits_by_number.values(), default=-1)
+
+    def drop(self, number: int) -> None:
+        """Forget a reservation.
+
+        :param number: Its number.
+        """
+        self.nodes_by_number.pop(number, None)
+        self.waits_by_number.pop(number, None)
+        self.grants_by_number.pop(number, None)
+        self.awaited_numbers.discard(number)
