Let the target of a stopping node work until its callers have gone

Cause: a node declined all requests for its target from the stop signal on, and came back 5 to 6 s later; with nodes stopped in turn many sound targets were idle. Ruled out: targets judged doubtful (each got a test within 1.1 s). Test: test_target_of_a_stopping_node_works_until_its_callers_have_gone, failed before.

--- a/src/heatherspur/sidecar/app.py
+++ b/src/heatherspur/sidecar/app.py
@@ -27,6 +27,7 @@
     decode_settings,
     decode_table,
 )
+from heatherspur.sidecar.conf import MIN_STOP_S, STOP_SHARE
 from heatherspur.sidecar.control import ControlServer
 from heatherspur.sidecar.entry import SidecarEntry
 from heatherspur.sidecar.events import fleet_changed, table_changed
@@ -44,10 +45,6 @@
 # Until the configuration tells the limits on callers.
 FIRST_HTTP = HttpSettings(16384, 3.0, 15.0, 3000)
 LINK_CONNECT_TIMEOUT_S = 1.0
-# The platform stops sending callers after two unanswered questions, one a second.
-MIN_STOP_S = 2.2
-# The last sixth of the time to the kill is left for the answers to arrive.
-STOP_SHARE = 5 / 6
 SETTINGS_CHECK_S = 1.0
 # Callers try to connect for a second; the first reads of the store take a few
 # hundredths of one.
--- a/src/heatherspur/sidecar/entry.py
+++ b/src/heatherspur/sidecar/entry.py
@@ -20,6 +20,7 @@
 from heatherspur.link import messages as m
 from heatherspur.node import events as node_events
 from heatherspur.platform.headers import caller_head, retry_after_field
+from heatherspur.sidecar.conf import STOP_ADMITTING_AFTER_S
 from heatherspur.sidecar.links import SidecarLinks
 from heatherspur.sidecar.metrics import SidecarMetrics
 
@@ -30,9 +31,6 @@
 # The target's shortest useful time; less is over before the request arrives.
 MIN_DEADLINE_MS = 5
 RETRY_SOON_S = 0.5
-# Requests that come later than this after the stop signal would not be over before
-# the last sixth of the time to the kill; callers are sent elsewhere long before.
-STOP_ADMITTING_AFTER_S = 2.5
 # How soon a node that was lost or came back changes the owners of limits.
 OWNERS_INTERVAL_S = 0.25
 
--- a/src/heatherspur/sidecar/exit.py
+++ b/src/heatherspur/sidecar/exit.py
@@ -26,6 +26,7 @@
     answer_marks,
     target_request_fields,
 )
+from heatherspur.sidecar.conf import STOP_ADMITTING_AFTER_S
 from heatherspur.sidecar.metrics import SidecarMetrics
 from heatherspur.sidecar.target import (
     IdleTargetConnections,
@@ -79,7 +80,7 @@
         self._slots.starts_until_s = now_s() + settings.report_gap_s
         self._target = ""
         self._address: Address = settings.target
-        self._stopping = False
+        self._stop_at_s = float("inf")
         self._links_by_id: dict[int, object] = {}
         self._connections_by_key: dict[ReservationKey, TargetConnection] = {}
         self._idle = IdleTargetConnections()
@@ -105,7 +106,7 @@
         self._target = beat.target
         self._address = beat.address or self._settings.target
         self._slots.slots = beat.slots
-        self._set_accepting(beat.ready and not self._stopping)
+        self._set_accepting(beat.ready and now_s() < self._stop_at_s)
 
     def _set_accepting(self, accepting: bool) -> None:
         self._slots.starts_until_s = 0.0
@@ -406,8 +407,8 @@
 
     @handler("stop_node", channel="*")
     def _on_stop_node(self):
-        self._stopping = True
-        self._set_accepting(False)
+        """Go on while callers leave; then let what runs end."""
+        self._stop_at_s = now_s() + STOP_ADMITTING_AFTER_S
 
     @handler("tick", channel="*")
     def _on_tick(self, now):
@@ -416,6 +417,8 @@
             if connection.request.is_sent and now >= connection.request.until_s:
                 self._slots.note_end(connection.request.key, False, now)
                 self._fail(connection, "timeout")
+        if now >= self._stop_at_s and self._slots.accepting:
+            self._set_accepting(False)
         self._send(self._slots.tick(now))
         self._history.expire(now)
 
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -182,6 +182,21 @@
     assert site.processes_by_name[host.name].wait(timeout=GRACE_S) == 0
 
 
+def test_target_of_a_stopping_node_works_until_its_callers_have_gone(site):
+    """Each restart kept a target from work for more than 5 s."""
+    stopping, other = site.hosts
+    site.signal(stopping, signal.SIGTERM)
+    time.sleep(0.5)
+    before = sum(site.control(stopping)["runs"].values())
+    until_s = time.monotonic() + 1.2
+    while time.monotonic() < until_s:
+        with concurrent.futures.ThreadPoolExecutor(8) as pool:
+            asked = [pool.submit(site.ask, other, "/once/1", "POST") for _ in range(8)]
+            assert [a.result().status_code for a in asked] == [200] * 8
+    assert sum(site.control(stopping)["runs"].values()) > before
+    assert site.processes_by_name[stopping.name].wait(timeout=GRACE_S) == 0
+
+
 def test_reload_signals_change_nothing_but_the_settings(site):
     host = site.hosts[0]
     for _ in range(3):
