Finish a read for missing records before relying on a neighbour again

Cause: found by reading. A node that missed records read the store, but the next beat of its feeder (0.4 s) broke that read off; with a slow store that could repeat. Change: a node relies on its feeder again once it has caught up; reads that bring nothing are repeated after 0.6, 1.2 and 2.4 s. Tests: test_beats_do_not_end_a_read_for_missing_records, test_stuck_reads_are_not_repeated_in_quick_succession.

--- a/src/heatherspur/feed/conf.py
+++ b/src/heatherspur/feed/conf.py
@@ -1,6 +1,6 @@
 """Fixed figures of the feed subpackage, in seconds unless stated otherwise."""
 
-__all__ = ["BEAT_S", "CATCH_UP_S", "MAX_FED", "SILENT_S"]
+__all__ = ["BEAT_S", "CATCH_UP_S", "MAX_FED", "MAX_REFRESH_GAP_S", "SILENT_S"]
 
 # Nodes fed by one node; at two and a half beats a second they cost it about 1% of a
 # core.
@@ -11,3 +11,5 @@
 # Records that a node has heard of arrive within two ways between zones; later ones
 # are stuck.
 CATCH_UP_S = 0.3
+# A store that forgot its history answers for some seconds with what was true before.
+MAX_REFRESH_GAP_S = 2.4
--- a/src/heatherspur/feed/follower.py
+++ b/src/heatherspur/feed/follower.py
@@ -5,7 +5,7 @@
 tells the readers of all zones how far the topic goes.
 """
 
-from heatherspur.feed.conf import CATCH_UP_S, SILENT_S
+from heatherspur.feed.conf import CATCH_UP_S, MAX_REFRESH_GAP_S, SILENT_S
 
 __all__ = ["Follower"]
 
@@ -16,6 +16,8 @@
     def __init__(self) -> None:
         self._fed_until_s = 0.0
         self._behind_since_s: float | None = None
+        self._refresh_at_s = 0.0
+        self._refresh_gap_s = CATCH_UP_S
         self.known_end = 0
 
     def hear_beat(self, reads_store: bool, now: float) -> None:
@@ -33,26 +35,37 @@
         """
         self.known_end = max(self.known_end, next_offset)
 
+    def note_offset(self, next_offset: int, now: float) -> None:
+        """Note how far the configuration's topic is known here.
+
+        :param next_offset: Offset after the last record.
+        :param now: Clock reading in seconds.
+        """
+        if next_offset >= self.known_end:
+            self._behind_since_s = None
+            self._refresh_gap_s = CATCH_UP_S
+        elif self._behind_since_s is None:
+            self._behind_since_s = now
+            self._refresh_at_s = now + CATCH_UP_S
+
     def is_fed(self, now: float) -> bool:
         """Tell whether the store need not be read.
 
         :param now: Clock reading in seconds.
         """
-        return now < self._fed_until_s
+        behind_since_s = self._behind_since_s
+        is_behind = behind_since_s is not None and now - behind_since_s >= CATCH_UP_S
+        return now < self._fed_until_s and not is_behind
+
+    def take_refresh(self, now: float) -> bool:
+        """Tell whether to read anew, since the read under way is stuck.
 
-    def is_stuck(self, next_offset: int, now: float) -> bool:
-        """Tell whether records that exist have failed to come; at most once a while.
+        Reads may lag for seconds, so each further one waits longer.
 
-        :param next_offset: Offset up to which the topic is known here.
         :param now: Clock reading in seconds.
         """
-        if next_offset >= self.known_end:
-            self._behind_since_s = None
+        if self._behind_since_s is None or now < self._refresh_at_s:
             return False
-        if self._behind_since_s is None:
-            self._behind_since_s = now
-        if now - self._behind_since_s < CATCH_UP_S:
-            return False
-        self._behind_since_s = now
-        self._fed_until_s = 0.0
+        self._refresh_gap_s = min(MAX_REFRESH_GAP_S, self._refresh_gap_s * 2)
+        self._refresh_at_s = now + self._refresh_gap_s
         return True
--- a/src/heatherspur/feed/tests/test_feed.py
+++ b/src/heatherspur/feed/tests/test_feed.py
@@ -95,8 +95,27 @@
     follower = Follower()
     follower.hear_beat(True, 10.0)
     follower.hear_end(5)
-    assert not follower.is_stuck(4, 10.0)
+    follower.note_offset(4, 10.0)
     assert follower.is_fed(10.1)
-    assert follower.is_stuck(4, 10.0 + CATCH_UP_S)
-    assert not follower.is_fed(10.1 + CATCH_UP_S)
-    assert not follower.is_stuck(5, 10.5)
+    assert not follower.take_refresh(10.1)
+    assert follower.take_refresh(10.0 + CATCH_UP_S)
+    assert not follower.is_fed(10.0 + CATCH_UP_S)
+
+
+def test_beats_do_not_end_a_read_for_missing_records():
+    """With a slow store each beat broke the read off before its answer came."""
+    follower = Follower()
+    follower.hear_end(5)
+    follower.note_offset(4, 10.0)
+    follower.hear_beat(True, 10.5)
+    assert not follower.is_fed(10.6)
+    follower.note_offset(5, 10.7)
+    assert follower.is_fed(10.7)
+
+
+def test_stuck_reads_are_not_repeated_in_quick_succession():
+    follower = Follower()
+    follower.hear_end(5)
+    follower.note_offset(4, 10.0)
+    refreshes = [i / 20 for i in range(120) if follower.take_refresh(10.0 + i / 20)]
+    assert len(refreshes) <= 5
--- a/src/heatherspur/sidecar/feed.py
+++ b/src/heatherspur/sidecar/feed.py
@@ -113,7 +113,8 @@
 
     @handler("tick", channel="*")
     def _on_tick(self, now):
-        if self._follower.is_stuck(self._config_end, now):
+        self._follower.note_offset(self._config_end, now)
+        if self._follower.take_refresh(now):
             extra = {"known": self._config_end, "end": self._follower.known_end}
             logger.warning("feed: records are missing", extra=extra)
             self._store.refresh(self._config_topic)
