Pass over a feeder that stays silent

Cause: found by reading. The record of a host that is lost for good stays in the store; if it is its zone's feeder, all nodes of the zone read the store for themselves from then on, which costs more than before the feed. Change: a feeder that is silent for 2 s is passed over for 5 s, and the next one feeds. Test: test_feeder_that_is_gone_for_good_is_replaced_though_it_is_still_recorded.

--- a/src/heatherspur/feed/conf.py
+++ b/src/heatherspur/feed/conf.py
@@ -1,6 +1,13 @@
 """Fixed figures of the feed subpackage, in seconds unless stated otherwise."""
 
-__all__ = ["BEAT_S", "CATCH_UP_S", "MAX_FED", "MAX_REFRESH_GAP_S", "SILENT_S"]
+__all__ = [
+    "BEAT_S",
+    "CATCH_UP_S",
+    "MAX_FED",
+    "MAX_REFRESH_GAP_S",
+    "PASSED_OVER_S",
+    "SILENT_S",
+]
 
 # Nodes fed by one node; at two and a half beats a second they cost it about 1% of a
 # core.
@@ -8,6 +15,9 @@
 BEAT_S = 0.4
 # Two beats and a half; with a read it stays below the bound on configuration, 2 s.
 SILENT_S = 1.0
+# A feeder that has just started learns of the nodes that it feeds within this time; one
+# that stays silent is passed over for a while, so that the next one takes its place.
+PASSED_OVER_S = 5.0
 # Records that a node has heard of arrive within two ways between zones; later ones
 # are stuck.
 CATCH_UP_S = 0.3
--- a/src/heatherspur/feed/follower.py
+++ b/src/heatherspur/feed/follower.py
@@ -5,7 +5,9 @@
 tells the readers of all zones how far the topic goes.
 """
 
-from heatherspur.feed.conf import CATCH_UP_S, MAX_REFRESH_GAP_S, SILENT_S
+from collections.abc import Sequence
+
+from heatherspur.feed.conf import CATCH_UP_S, MAX_REFRESH_GAP_S, PASSED_OVER_S, SILENT_S
 
 __all__ = ["Follower"]
 
@@ -15,18 +17,46 @@
 
     def __init__(self) -> None:
         self._fed_until_s = 0.0
+        self._feeder: str | None = None
+        self._feeder_silent_since_s = 0.0
+        self._passed_over_until_by_node: dict[str, float] = {}
         self._behind_since_s: float | None = None
         self._refresh_at_s = 0.0
         self._refresh_gap_s = CATCH_UP_S
         self.known_end = 0
 
-    def hear_beat(self, reads_store: bool, now: float) -> None:
+    def expect(self, feeder: str | None, now: float) -> None:
+        """Note which node is to feed this one, and pass it over if it stays silent.
+
+        :param feeder: The node, or ``None`` if this one reads the store itself.
+        :param now: Clock reading in seconds.
+        """
+        if feeder != self._feeder:
+            self._feeder = feeder
+            self._feeder_silent_since_s = now
+        elif feeder and now - self._feeder_silent_since_s > 2 * SILENT_S:
+            self._passed_over_until_by_node[feeder] = now + PASSED_OVER_S
+
+    def answering(self, nodes: Sequence[str], now: float) -> list[str]:
+        """Return the nodes that may be feeders.
+
+        :param nodes: Nodes of this node's availability zone.
+        :param now: Clock reading in seconds.
+        """
+        until_by_node = self._passed_over_until_by_node
+        return [node for node in nodes if now >= until_by_node.get(node, 0.0)]
+
+    def hear_beat(self, node: str, reads_store: bool, now: float) -> None:
         """Take a sign of life of a neighbour that feeds this node.
 
+        :param node: The neighbour.
         :param reads_store: Whether it gets answers from the store.
         :param now: Clock reading in seconds.
         """
         self._fed_until_s = now + SILENT_S if reads_store else 0.0
+        if node == self._feeder:
+            self._feeder_silent_since_s = now
+        self._passed_over_until_by_node.pop(node, None)
 
     def hear_end(self, next_offset: int) -> None:
         """Note how far somebody has read the configuration's topic.
--- a/src/heatherspur/feed/plan.py
+++ b/src/heatherspur/feed/plan.py
@@ -25,6 +25,7 @@
         self._zone = zone
         self._nodes_by_zone: Mapping[str, Sequence[str]] = {}
         self.is_feeder = False
+        self.own_feeder: str | None = None
         self.fed_nodes: tuple[str, ...] = ()
         self.feeders: tuple[str, ...] = ()
 
@@ -44,6 +45,7 @@
         }
         own = feeders_by_zone.get(self._zone, [])
         self.is_feeder = self._me in own
+        self.own_feeder = None if self.is_feeder else _feeder_of(self._me, own)
         self.fed_nodes = tuple(
             node
             for node in nodes_by_zone.get(self._zone, ())
--- a/src/heatherspur/feed/tests/test_feed.py
+++ b/src/heatherspur/feed/tests/test_feed.py
@@ -10,6 +10,7 @@
 from heatherspur.feed.tests.builders import make_nodes, make_record
 
 CONFIG_BOUND_S = 2.0
+FEEDER = "10.0.0.1:80"
 
 
 def _plans(nodes_by_zone) -> dict[str, FeedPlan]:
@@ -78,7 +79,7 @@
 
 def test_silent_feeder_is_given_up_within_the_bound_on_configuration():
     follower = Follower()
-    follower.hear_beat(True, 10.0)
+    follower.hear_beat(FEEDER, True, 10.0)
     assert follower.is_fed(10.0 + SILENT_S / 2)
     assert not follower.is_fed(10.0 + SILENT_S)
     assert SILENT_S < CONFIG_BOUND_S
@@ -86,14 +87,14 @@
 
 def test_feeder_that_lost_the_store_is_given_up_at_once():
     follower = Follower()
-    follower.hear_beat(True, 10.0)
-    follower.hear_beat(False, 10.1)
+    follower.hear_beat(FEEDER, True, 10.0)
+    follower.hear_beat(FEEDER, False, 10.1)
     assert not follower.is_fed(10.1)
 
 
 def test_records_that_others_have_read_are_missed_soon():
     follower = Follower()
-    follower.hear_beat(True, 10.0)
+    follower.hear_beat(FEEDER, True, 10.0)
     follower.hear_end(5)
     follower.note_offset(4, 10.0)
     assert follower.is_fed(10.1)
@@ -107,7 +108,7 @@
     follower = Follower()
     follower.hear_end(5)
     follower.note_offset(4, 10.0)
-    follower.hear_beat(True, 10.5)
+    follower.hear_beat(FEEDER, True, 10.5)
     assert not follower.is_fed(10.6)
     follower.note_offset(5, 10.7)
     assert follower.is_fed(10.7)
@@ -119,3 +120,21 @@
     follower.note_offset(4, 10.0)
     refreshes = [i / 20 for i in range(120) if follower.take_refresh(10.0 + i / 20)]
     assert len(refreshes) <= 5
+
+
+def test_feeder_that_is_gone_for_good_is_replaced_though_it_is_still_recorded():
+    """Its record stays in the store, and all nodes of the zone read for themselves."""
+    nodes = make_nodes()
+    feeder = next(n for n, plan in _plans(nodes).items() if plan.is_feeder)
+    zone = next(zone for zone, members in nodes.items() if feeder in members)
+    rest = [node for node in nodes[zone] if node != feeder]
+    followers = {node: Follower() for node in rest}
+    plans = {node: FeedPlan(node, zone) for node in rest}
+    for step in range(10):
+        now = 10 + step * 0.4
+        for node in rest:
+            near = followers[node].answering(nodes[zone], now)
+            plans[node].update({**nodes, zone: near})
+            followers[node].expect(plans[node].own_feeder, now)
+    (replacement,) = (node for node in rest if plans[node].is_feeder)
+    assert set(plans[replacement].fed_nodes) == set(rest) - {replacement}
--- a/src/heatherspur/sidecar/feed.py
+++ b/src/heatherspur/sidecar/feed.py
@@ -93,7 +93,7 @@
                 self._take(message)
             elif isinstance(message, m.FeedBeat):
                 self._follower.hear_end(message.known_end)
-                self._follower.hear_beat(message.reads_store, now_s())
+                self._follower.hear_beat(link.node, message.reads_store, now_s())
             elif isinstance(message, m.FeedEnd):
                 self._follower.hear_end(message.next_offset)
 
@@ -128,7 +128,11 @@
             self._beat(now)
 
     def _beat(self, now: float) -> None:
-        self._plan.update(self._fleet.nodes_by_zone(now))
+        nodes_by_zone = self._fleet.nodes_by_zone(now)
+        near = nodes_by_zone[self._fleet.zone]
+        nodes_by_zone[self._fleet.zone] = self._follower.answering(near, now)
+        self._plan.update(nodes_by_zone)
+        self._follower.expect(self._plan.own_feeder, now)
         for node in self._sent_by_node.keys() - set(self._plan.fed_nodes):
             del self._sent_by_node[node]
         reads_store = self._store.reads_itself
