--- a/src/heatherspur/feed/conf.py
+++ b/src/heatherspur/feed/conf.py
@@ -9,8 +9,7 @@
     "SILENT_S",
 ]
 
-# Nodes fed by one node; at two and a half beats a second they cost it about 1% of a
-# core.
+# Nodes fed by one node; bounds its messages to 80 a second.
 MAX_FED = 32
 BEAT_S = 0.4
 # Two beats and a half; with a read it stays below the bound on configuration, 2 s.
