Wait for warm targets in a test; time a change from its acceptance

Shown by polling the states while sending: 'active, starting' -> one target; 'active, active' -> both. Reproduced once in 8 runs beside three busy processes. The test now waits until both are warm; what it asserts is unchanged. The bound is now the stated one: 4 s from the acceptance, for all nodes together; before, each node had 4 s and all 8 s. Ruled out: ejection, way times.

--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -214,6 +214,13 @@
             )
         )
 
+    def wait_warm(self) -> None:
+        """Wait until every node sees every target warmed up."""
+        for node in self.nodes:
+            self.wait_for(
+                node, lambda s: all(t["state"] == "active" for t in s["targets"])
+            )
+
     def command(self, *words: str, check: bool = True):
         """Run an operator's command and return what it prints."""
         result = subprocess.run(
--- a/tests/test_catalogue_failures.py
+++ b/tests/test_catalogue_failures.py
@@ -76,12 +76,12 @@
 
 
 def test_a_change_is_in_force_everywhere_within_the_bound(fleet):
-    started = time.monotonic()
     fleet.apply(CATALOGUE + _customer("club", 7))
     key = fleet.grant("club")
+    accepted = time.monotonic()
     for node in (0, 1):
         wait_until(lambda n=node: _status(fleet, key, n) == 200, IN_FORCE_S)
-    assert time.monotonic() - started < 2 * IN_FORCE_S
+    assert time.monotonic() - accepted < IN_FORCE_S
 
 
 def test_with_the_log_down_nodes_serve_and_a_new_one_learns_from_peers(fleet):
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -39,6 +39,7 @@
 
 
 def test_get_and_post_through_both_nodes(fleet):
+    fleet.wait_warm()  # a target that still warms up gets nothing beside a warm one
     targets = set()
     with httpx.Client() as client:
         for number in range(20):
