Let small customers go before those that used more than their share

Cause: the order at a target did not look at customers. One that sends ten times what the others do, inside its limit, made seven small ones late as often as itself. Ruled out: limits alone (a customer may send its whole rate, 1.6 times the usual). Change: CustomerShares keeps the recent slot time by customer; within one rank and among those in time, customers below an equal share go first. A reservation carries a tag of its customer.

--- a/src/heatherspur/dispatch/dispatcher.py
+++ b/src/heatherspur/dispatch/dispatcher.py
@@ -110,6 +110,7 @@
                     n_asked=n_asked,
                     is_repeat=opened.n_handed > 0,
                     route=request.route.tag,
+                    customer=request.customer_tag,
                 ),
             )
         opened.asked_at_s = now
--- a/src/heatherspur/dispatch/queue.py
+++ b/src/heatherspur/dispatch/queue.py
@@ -13,6 +13,7 @@
 from heatherspur.dispatch.conf import GRANT_TIMEOUT_S
 from heatherspur.dispatch.futility import FutileRoutes
 from heatherspur.dispatch.runtimes import DEFAULT_RUN_S, RunTimes
+from heatherspur.dispatch.shares import CustomerShares
 from heatherspur.dispatch.starvation import Starvation
 from heatherspur.dispatch.verdict import TargetVerdict
 from heatherspur.link import messages as m
@@ -62,6 +63,7 @@
     :param weight: Chance that it comes to use a slot here, from 0 to 1.
     :param is_repeat: Whether a target has got the request before.
     :param route: Tag of the request's route.
+    :param customer: Tag of the request's customer; 0 for none.
     """
 
     key: ReservationKey
@@ -73,6 +75,7 @@
     weight: float
     is_repeat: bool
     route: int
+    customer: int
 
 
 class SlotReply(NamedTuple):
@@ -128,6 +131,7 @@
         self.accepting = False
         self.starts_until_s = 0.0
         self._futile_routes = FutileRoutes()
+        self._shares = CustomerShares()
         self._starvation = Starvation()
         self.verdict = TargetVerdict()
         self._waiting_by_key: dict[ReservationKey, Waiting] = {}
@@ -224,6 +228,9 @@
                 return
             del self._waiting_by_key[waiting.key]
             self._futile_routes.note_start(waiting.route, now)
+            if not waiting.inner:
+                run_s = self._run_times.expected_s(waiting.route)
+                self._shares.note_start(waiting.customer, run_s, now)
             if not waiting.inner and self._is_late(waiting, now):
                 self._starvation.note_grant(waiting.priority)
             until_s = now + GRANT_TIMEOUT_S
@@ -244,9 +251,19 @@
         return min(allowed, key=lambda w: self._rank(w, now), default=None)
 
     def _rank(self, waiting: Waiting, now: float) -> tuple:
-        """Order reservations: calls, rank, those in time, then earliest objective."""
-        is_late = self._is_late(waiting, now)
-        return not waiting.inner, waiting.priority, is_late, waiting.objective_at_s
+        """Order reservations.
+
+        Calls go first, then by rank; those in time before those that are late, small
+        customers before those that used more than their share, and the earliest
+        objective before later ones.
+        """
+        return (
+            not waiting.inner,
+            waiting.priority,
+            self._is_late(waiting, now),
+            self._shares.is_over(waiting.customer),
+            waiting.objective_at_s,
+        )
 
     def _is_late(self, waiting: Waiting, now: float) -> bool:
         run_s = self._run_times.expected_s(waiting.route)
--- a/src/heatherspur/dispatch/tests/builders.py
+++ b/src/heatherspur/dispatch/tests/builders.py
@@ -110,6 +110,7 @@
         weight=1.0,
         is_repeat=False,
         route=7,
+        customer=1,
     )
     return waiting._replace(**changes)
 
--- a/src/heatherspur/dispatch/tests/replays.py
+++ b/src/heatherspur/dispatch/tests/replays.py
@@ -1,6 +1,7 @@
 """Replays a load at one target with a queue under test."""
 
 import heapq
+from collections import Counter
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -22,6 +23,7 @@
     timeout_s: float
     route: int = 7
     inner: bool = False
+    customer: int = 1
 
 
 class Outcome(NamedTuple):
@@ -47,6 +49,7 @@
         self._open_by_number: dict[int, Arrival] = {}
         self._ends: list[tuple[float, int]] = []
         self._n_in_time = self._n_served = 0
+        self.n_in_time_by_customer: Counter[int] = Counter()
         self._held_s: list[float] = []
 
     def _take(self, replies, now: float) -> None:
@@ -65,7 +68,9 @@
             arrival = self._open_by_number.pop(number)
             if not arrival.inner:
                 self._n_served += 1
-                self._n_in_time += at_s - arrival.at_s <= arrival.objective_s
+                in_time = at_s - arrival.at_s <= arrival.objective_s
+                self._n_in_time += in_time
+                self.n_in_time_by_customer[arrival.customer] += in_time
             replies = self._queue.finish(ReservationKey(1, number), True, at_s)
             self._take(replies, at_s)
 
@@ -87,6 +92,7 @@
                 until_s=now + arrival.timeout_s,
                 inner=arrival.inner,
                 route=arrival.route,
+                customer=arrival.customer,
             )
             self._take(self._queue.reserve(waiting, now), now)
         # What is left ran into its timeout without a slot.
--- a/src/heatherspur/dispatch/types.py
+++ b/src/heatherspur/dispatch/types.py
@@ -16,8 +16,8 @@
     "TargetBeat",
 ]
 
-# Three bytes on the wire; two routes that share a tag are judged together.
-ROUTE_TAGS = 65536
+# Three bytes on the wire; two routes or customers that share a tag are judged together.
+N_TAGS = 65536
 
 
 class Part(NamedTuple):
@@ -60,7 +60,7 @@
     @property
     def tag(self) -> int:
         """Short number that stands for the route in messages between nodes."""
-        return stable_hash(self.name) % ROUTE_TAGS
+        return stable_hash(self.name) % N_TAGS
 
 
 class Customer(NamedTuple):
@@ -210,6 +210,11 @@
     opened_at_s: float
     deadline_s: float
 
+    @property
+    def customer_tag(self) -> int:
+        """Short number that stands for the customer in messages; 0 for none."""
+        return stable_hash(self.customer) % (N_TAGS - 1) + 1 if self.customer else 0
+
     @property
     def timeout_at_s(self) -> float:
         """Clock reading at which the final answer is due."""
--- a/src/heatherspur/link/reservations.py
+++ b/src/heatherspur/link/reservations.py
@@ -34,6 +34,7 @@
     :param n_asked: Number of exits asked for the same request.
     :param is_repeat: Whether a target has got the request before.
     :param route: Tag of the request's route.
+    :param customer: Tag of the request's customer; 0 for none.
     """
 
     number: int
@@ -46,6 +47,7 @@
     n_asked: int
     is_repeat: bool
     route: int
+    customer: int
 
 
 class Queued(NamedTuple):
--- a/src/heatherspur/sidecar/exit.py
+++ b/src/heatherspur/sidecar/exit.py
@@ -147,6 +147,7 @@
             weight=1 / max(1, message.n_asked),
             is_repeat=message.is_repeat,
             route=message.route,
+            customer=message.customer,
         )
         self._send(self._slots.reserve(waiting, now))
 
