Notice settings of the same length; put those in force that can change

Cause: found by reading. A settings file that changed without a signal was noticed by its length only, and no changed setting was put in force, though the log said 'reloaded'. Change: size and time of change are compared; grace and the bounds on repeats hold from then on, the log names those that wait for a restart. Test: test_a_settings_file_that_changes_without_a_signal_is_read, failed before.

--- a/src/heatherspur/dispatch/budget.py
+++ b/src/heatherspur/dispatch/budget.py
@@ -25,13 +25,22 @@
     """
 
     def __init__(self, ratio: float, window_s: float, slack: float, now: float) -> None:
-        self._ratio = ratio * SAFETY
-        self._window_s = window_s
-        self._slack = slack * SAFETY
+        self.resize(ratio, window_s, slack)
         self._saved: float | None = None
         self._earned = 0.0
         self._updated_at_s = now
 
+    def resize(self, ratio: float, window_s: float, slack: float) -> None:
+        """Take other bounds; what is saved up stays.
+
+        :param ratio: Repeats allowed relative to requests.
+        :param window_s: Window over which repeats are counted, in seconds.
+        :param slack: Repeats that the service may get in a window besides the ratio.
+        """
+        self._ratio = ratio * SAFETY
+        self._window_s = window_s
+        self._slack = slack * SAFETY
+
     def note_request(self) -> None:
         """Count a request that arrives for the first time."""
         self._earned += self._ratio
--- a/src/heatherspur/dispatch/tests/test_budget.py
+++ b/src/heatherspur/dispatch/tests/test_budget.py
@@ -97,3 +97,13 @@
     assert any(
         isinstance(x, SendTo) and isinstance(x.message, m.Execute) for x in messages
     )
+
+
+def test_other_bounds_hold_from_the_next_request_on():
+    budget = RepeatBudget(0.2, 10.0, 64.0, 0.0)
+    assert budget.has_room(1, 0.0)
+    budget.resize(0.0, 10.0, 0.0)
+    # A single repeat is always saved up; without bounds to fill it, no second.
+    assert budget.has_room(1, 1.0)
+    budget.take()
+    assert not budget.has_room(1, 100.0)
--- a/src/heatherspur/sidecar/app.py
+++ b/src/heatherspur/sidecar/app.py
@@ -30,7 +30,11 @@
 from heatherspur.sidecar.conf import MIN_STOP_S, STOP_SHARE
 from heatherspur.sidecar.control import ControlServer
 from heatherspur.sidecar.entry import SidecarEntry
-from heatherspur.sidecar.events import fleet_changed, table_changed
+from heatherspur.sidecar.events import (
+    fleet_changed,
+    settings_changed,
+    table_changed,
+)
 from heatherspur.sidecar.exit import SidecarExit
 from heatherspur.sidecar.feed import SidecarFeed
 from heatherspur.sidecar.links import SidecarLinkHub, SidecarLinks
@@ -50,6 +54,8 @@
 # hundredths of one.
 FIRST_LISTEN_S = 1.0
 METRICS_PORT = 9464
+# The others name addresses and the node itself; a node that moves is started anew.
+LIVE_SETTINGS = ("grace_s", "retry_ratio", "retry_window_s", "retry_slack")
 
 logger = logging.getLogger("heatherspur.node")
 
@@ -68,6 +74,7 @@
         self._settings = settings
         self._path = path
         self._data = path.read_bytes()
+        self._file_state = _file_state(path)
         self._next_check_s = now_s() + SETTINGS_CHECK_S
         self._stopping_since_s: float | None = None
         self._listens = False
@@ -233,7 +240,7 @@
             logger.warning("node: settings not read", extra={"reason": str(error)})
             return
         if data == self._data:
-            logger.info("node: reloaded", extra={"cause": cause, "changed": False})
+            logger.info("node: reloaded", extra={"cause": cause, "changed": []})
             return
         self._data = data
         decoded = decode_settings(data, str(self._path))
@@ -241,15 +248,24 @@
             extra = {"reason": decoded.err_value.reason}
             logger.warning("node: settings not usable", extra=extra)
             return
+        self._use(decoded.ok_value, cause)
+
+    def _use(self, settings: FleetSettings, cause: str) -> None:
+        """Put the settings in force that can change while the node runs."""
         changed = [
             name
             for name, old, new in zip(
-                FleetSettings._fields, self._settings, decoded.ok_value, strict=True
+                FleetSettings._fields, self._settings, settings, strict=True
             )
             if old != new
         ]
-        extra = {"cause": cause, "changed": changed}
+        live = {name: getattr(settings, name) for name in LIVE_SETTINGS}
+        self._settings = self._settings._replace(**live)
+        waiting = sorted(set(changed) - set(LIVE_SETTINGS))
+        extra = {"cause": cause, "changed": changed, "after_restart": waiting}
         logger.info("node: reloaded", extra=extra)
+        if len(waiting) < len(changed):
+            self.fire(settings_changed(self._settings), "*")
 
     @property
     def _n_open(self) -> int:
@@ -274,11 +290,9 @@
 
     def _check_settings_file(self) -> None:
         """Notice a settings file that changed without a signal."""
-        try:
-            size = os.stat(self._path).st_size
-        except OSError:
-            return
-        if size != len(self._data):
+        state = _file_state(self._path)
+        if state is not None and state != self._file_state:
+            self._file_state = state
             self._reload("file")
 
     def _render(self) -> tuple[bytes, str]:
@@ -298,6 +312,15 @@
         return self._metrics.render(counts)
 
 
+def _file_state(path: Path) -> tuple[int, int] | None:
+    """Return what changes with a file's content, or ``None`` if it can't be told."""
+    try:
+        stat = os.stat(path)
+    except OSError:
+        return None
+    return stat.st_size, stat.st_mtime_ns
+
+
 def _decode_member(host: str, value: bytes) -> Member | None:
     """Decode a record of another node; one that can't be used counts as none."""
     if not value:
--- a/src/heatherspur/sidecar/events.py
+++ b/src/heatherspur/sidecar/events.py
@@ -20,6 +20,13 @@
     """
 
 
+class settings_changed(Event):  # noqa: N801
+    """Settings that can change while the node runs did.
+
+    :param settings: All settings.
+    """
+
+
 class fleet_changed(Event):  # noqa: N801
     """The records of other nodes changed."""
 
--- a/src/heatherspur/sidecar/exit.py
+++ b/src/heatherspur/sidecar/exit.py
@@ -70,13 +70,13 @@
         self._settings = settings
         self._metrics = metrics
         self._fleet = fleet
-        budget = RepeatBudget(
+        self._budget = RepeatBudget(
             settings.retry_ratio,
             settings.retry_window_s,
             settings.retry_slack,
             now_s(),
         )
-        self._slots = TargetQueue(secrets.randbits(PROCESS_BITS), budget)
+        self._slots = TargetQueue(secrets.randbits(PROCESS_BITS), self._budget)
         self._slots.starts_until_s = now_s() + settings.report_gap_s
         self._target = ""
         self._address: Address = settings.target
@@ -406,6 +406,12 @@
     def _on_fleet_changed(self):
         self._slots.n_targets = self._fleet.n_targets(self._settings.service)
 
+    @handler("settings_changed", channel="*")
+    def _on_settings_changed(self, settings: FleetSettings):
+        self._budget.resize(
+            settings.retry_ratio, settings.retry_window_s, settings.retry_slack
+        )
+
     @handler("stop_node", channel="*")
     def _on_stop_node(self):
         """Go on while callers leave; then let what runs end."""
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -208,6 +208,18 @@
     assert site.processes_by_name[host.name].poll() is None
 
 
+def test_a_settings_file_that_changes_without_a_signal_is_read(site):
+    host = site.hosts[0]
+    path = site.folder / f"{host.name}.json"
+    old = path.read_text()
+    path.write_text(old.replace("grace=6s", "grace=7s"))
+    wait_until(lambda: '"changed":["grace_s"],"after_restart":[]' in site.logs(), 5)
+    path.write_text("{")
+    wait_until(lambda: "node: settings not usable" in site.logs(), 5)
+    path.write_text(old)
+    assert site.ask(host, "/read/1").status_code == 200
+
+
 def test_gone_caller_frees_the_target(site):
     for host in site.hosts:
         site.control(host, service_s=5.0)
