Refuse at once what better ranks will keep waiting past its timeout

Starvation noticed that only after late requests had waited 1.2 s in vain. Ruled out: a shorter time for that (0.5 s refused a tenth of a burst, see before); slots that stand idle. Change: RankLoad keeps the work given to each rank; the expected wait is stretched by the part that better ranks take (Cobham's priority queue). Hopeless requests are declined when they come and on each tick. Starvation is removed. The replay of mixed routes now asks for 85 in 100 of what the target can run at all, in place of a ratio to the baseline, which gained from this change as well.

--- a/src/heatherspur/dispatch/conf.py
+++ b/src/heatherspur/dispatch/conf.py
@@ -24,8 +24,6 @@
     "RECOVERY_SUCCESSES",
     "RESUME_GAP_S",
     "SLOW_S",
-    "STARVED_FOR_S",
-    "STARVED_S",
 ]
 
 # A grant that is not used holds a slot idle; two round trips between zones and a
@@ -62,10 +60,6 @@
 N_FUTILE = 2
 # Slow spells last some seconds.
 FUTILE_PROBE_GAP_S = 2.0
-# Half a second refused a tenth of a burst of 12 requests that could all be served late.
-STARVED_S = 1.2
-# Bursts last three seconds and more; late requests try anew after this time.
-STARVED_FOR_S = 1.5
 # Nodes that are cut off and the owner of a limit may both admit for a while.
 FALLBACK_SHARE = 0.5
 # A reset link is dialled again at once; a cut one is tried a few times within the
--- a/src/heatherspur/dispatch/queue.py
+++ b/src/heatherspur/dispatch/queue.py
@@ -12,9 +12,9 @@
 from heatherspur.dispatch.budget import RepeatBudget
 from heatherspur.dispatch.conf import GRANT_TIMEOUT_S
 from heatherspur.dispatch.futility import FutileRoutes
+from heatherspur.dispatch.rankload import RankLoad, WaitingRank
 from heatherspur.dispatch.runtimes import DEFAULT_RUN_S, RunTimes
 from heatherspur.dispatch.shares import CustomerShares
-from heatherspur.dispatch.starvation import Starvation
 from heatherspur.dispatch.verdict import TargetVerdict
 from heatherspur.link import messages as m
 
@@ -34,7 +34,10 @@
 DOUBTFUL_WAIT_MS = 3000
 # Reason of a decline: requests of this route run into their timeout here.
 FUTILE = "futile"
-# Reason of a decline: late requests wait in vain at present.
+# Part of an expected wait that is counted against a request; bursts end, and then waits
+# turn out shorter.
+CERTAIN_PART_OF_WAIT = 0.6
+# Reason of a decline: no slot is expected before the timeout.
 NO_ROOM = "no-room"
 # Reason of a decline: the target has got its share of the service's repeats.
 REPEAT_BUDGET = "repeat-budget"
@@ -131,8 +134,8 @@
         self.accepting = False
         self.starts_until_s = 0.0
         self._futile_routes = FutileRoutes()
+        self._rank_load = RankLoad()
         self._shares = CustomerShares()
-        self._starvation = Starvation()
         self.verdict = TargetVerdict()
         self._waiting_by_key: dict[ReservationKey, Waiting] = {}
         self._granted_by_key: dict[ReservationKey, Granted] = {}
@@ -177,18 +180,28 @@
             return "not-ready"
         if waiting.is_repeat and not self._budget.has_room(self.n_targets, now):
             return REPEAT_BUDGET
-        if self._would_starve(waiting, now):
+        if self.accepting and self._is_hopeless_to_join(waiting, now):
             return NO_ROOM
         if self._futile_routes.is_futile(waiting.route, now):
             return FUTILE
         return None
 
-    def _would_starve(self, waiting: Waiting, now: float) -> bool:
-        if waiting.inner or not self._starvation.is_starved(waiting.priority, now):
+    def _is_hopeless_to_join(self, waiting: Waiting, now: float) -> bool:
+        if self.verdict.state != "sound" or self.n_busy < self.slots:
+            return False
+        wait_s = self._wait_s(waiting, self._ahead_s(waiting, now), now)
+        return self._is_hopeless(waiting, wait_s, now)
+
+    def _is_hopeless(self, waiting: Waiting, wait_s: float, now: float) -> bool:
+        """Tell whether a request will miss its objective and its timeout.
+
+        Calls of targets are never turned away for it: each fails its parent.
+        """
+        if waiting.inner:
             return False
-        wait_s = self._expected_wait_ms(waiting, now) / 1000
         run_s = self._run_times.expected_s(waiting.route)
-        return now + wait_s + run_s > waiting.objective_at_s
+        end_s = now + wait_s * CERTAIN_PART_OF_WAIT + run_s
+        return end_s > max(waiting.until_s, waiting.objective_at_s)
 
     def _run_ms(self, now: float) -> int:
         """Return the time that a request takes here at present.
@@ -205,17 +218,27 @@
             return int(1000 * max(0.0, self.starts_until_s - now) / 2)
         if self.verdict.state == "doubtful":
             return DOUBTFUL_WAIT_MS
-        rank = self._rank(waiting, now)
-        ahead_s = sum(
+        ahead_s = self._ahead_s(waiting, now)
+        return int(1000 * self._wait_s(waiting, ahead_s, now))
+
+    def _ahead_s(self, waiting: Waiting, now: float) -> float:
+        """Return the work that waits and goes first, in seconds of a slot."""
+        order = self._order(waiting, now)
+        return sum(
             other.weight * self._run_times.expected_s(other.route)
             for other in self._waiting_by_key.values()
-            if other is not waiting and self._rank(other, now) <= rank
+            if other is not waiting and self._order(other, now) <= order
         )
+
+    def _wait_s(self, waiting: Waiting, ahead_s: float, now: float) -> float:
+        """Return the expected wait behind some work that is ahead, in seconds."""
         # A slot that is busy is free after half of what runs there, on average.
         running = self._running_by_key.values()
         routes = [r.route for r in running] or [waiting.route]
         rest_s = sum(map(self._run_times.expected_s, routes)) / len(routes) / 2
-        return int(1000 * (ahead_s + rest_s) / max(1, self.slots))
+        wait_s = (ahead_s + rest_s) / max(1, self.slots)
+        rank = self._rank(waiting, now + wait_s)
+        return wait_s * self._rank_load.stretch(rank, self.slots, now)
 
     def pump(self, now: float) -> Iterator[SlotReply]:
         """Grant free slots to the reservations that are due.
@@ -228,11 +251,10 @@
                 return
             del self._waiting_by_key[waiting.key]
             self._futile_routes.note_start(waiting.route, now)
+            run_s = self._run_times.expected_s(waiting.route)
+            self._rank_load.note_start(self._rank(waiting, now), run_s, now)
             if not waiting.inner:
-                run_s = self._run_times.expected_s(waiting.route)
                 self._shares.note_start(waiting.customer, run_s, now)
-            if not waiting.inner and self._is_late(waiting, now):
-                self._starvation.note_grant(waiting.priority)
             until_s = now + GRANT_TIMEOUT_S
             self._granted_by_key[waiting.key] = Granted(
                 until_s, waiting.is_repeat, waiting.route
@@ -248,9 +270,13 @@
             for waiting in self._waiting_by_key.values()
             if self.verdict.may_run(waiting.may_probe, self.n_busy, now)
         )
-        return min(allowed, key=lambda w: self._rank(w, now), default=None)
+        return min(allowed, key=lambda w: self._order(w, now), default=None)
+
+    def _rank(self, waiting: Waiting, now: float) -> WaitingRank:
+        is_late = self._is_late(waiting, now)
+        return WaitingRank(not waiting.inner, waiting.priority, is_late)
 
-    def _rank(self, waiting: Waiting, now: float) -> tuple:
+    def _order(self, waiting: Waiting, now: float) -> tuple:
         """Order reservations.
 
         Calls go first, then by rank; those in time before those that are late, small
@@ -258,9 +284,7 @@
         objective before later ones.
         """
         return (
-            not waiting.inner,
-            waiting.priority,
-            self._is_late(waiting, now),
+            self._rank(waiting, now),
             self._shares.is_over(waiting.customer),
             waiting.objective_at_s,
         )
@@ -352,20 +376,20 @@
                 del self._waiting_by_key[key]
                 yield SlotReply(key, m.Decline(key.number, FUTILE))
 
-    def _decline_starved(self, now: float) -> Iterator[SlotReply]:
-        """Turn late reservations away while none of their rank gets a slot."""
+    def _decline_hopeless(self, now: float) -> Iterator[SlotReply]:
+        """Turn those away that can't be answered before their timeout."""
         if not self.accepting or self.verdict.state != "sound":
             return
-        late = [
-            waiting
-            for waiting in self._waiting_by_key.values()
-            if not waiting.inner and self._is_late(waiting, now)
-        ]
-        self._starvation.note_waiting((w.priority for w in late), now)
-        for waiting in late:
-            if self._starvation.is_starved(waiting.priority, now):
+        ahead_s = 0.0
+        in_order = sorted(
+            self._waiting_by_key.values(), key=lambda w: self._order(w, now)
+        )
+        for waiting in in_order:
+            if self._is_hopeless(waiting, self._wait_s(waiting, ahead_s, now), now):
                 del self._waiting_by_key[waiting.key]
                 yield SlotReply(waiting.key, m.Decline(waiting.key.number, NO_ROOM))
+            else:
+                ahead_s += waiting.weight * self._run_times.expected_s(waiting.route)
 
     def tick(self, now: float) -> Iterator[SlotReply]:
         """Expire grants and reservations; grant what has become allowed.
@@ -382,5 +406,5 @@
         if not self.accepting and now >= self.starts_until_s:
             yield from self.decline_all("not-ready")
         yield from self.pump(now)
-        yield from self._decline_starved(now)
+        yield from self._decline_hopeless(now)
         yield from self._decline_futile(now)
--- a/src/heatherspur/dispatch/tests/builders.py
+++ b/src/heatherspur/dispatch/tests/builders.py
@@ -92,8 +92,8 @@
     return Dispatcher(make_fleet(*members), make_settings(), random.Random(1))
 
 
-def make_queue(slots: int = 1) -> TargetQueue:
-    queue = TargetQueue(5, RepeatBudget(0.2, 10.0, 64.0, 0.0))
+def make_queue(slots: int = 1, queue_type=TargetQueue) -> TargetQueue:
+    queue = queue_type(5, RepeatBudget(0.2, 10.0, 64.0, 0.0))
     queue.slots = slots
     queue.accepting = True
     return queue
--- a/src/heatherspur/dispatch/tests/test_runtimes.py
+++ b/src/heatherspur/dispatch/tests/test_runtimes.py
@@ -1,5 +1,6 @@
 """Routes of very different work at one target."""
 
+import math
 import random
 
 import pytest
@@ -14,6 +15,12 @@
 LONG_OBJECTIVE_S, SHORT_OBJECTIVE_S = 2.0, 0.25
 # Work of the short calls, as a part of what the target can do.
 SHORT_LOAD = 0.2
+LOG_SPREAD = 0.3
+N_SEEDS = 6
+SECONDS = 20.0
+MEAN_LONG_S = LONG_RUN_S * math.exp(LOG_SPREAD**2 / 2)
+# Long requests that fit beside the short ones, in all seeds together.
+CAPACITY = N_SEEDS * (1 - SHORT_LOAD) * SLOTS * SECONDS / MEAN_LONG_S
 
 
 class OneMean(RunTimes):
@@ -36,7 +43,11 @@
     long_rate = (load - SHORT_LOAD) * SLOTS / LONG_RUN_S
     arrivals = [
         Arrival(
-            at_s, LONG_RUN_S * rng.lognormvariate(0, 0.3), LONG_OBJECTIVE_S, 6.0, LONG
+            at_s,
+            LONG_RUN_S * rng.lognormvariate(0, LOG_SPREAD),
+            LONG_OBJECTIVE_S,
+            6.0,
+            LONG,
         )
         for at_s in times(long_rate)
     ]
@@ -50,17 +61,18 @@
 
 def _replay(run_times, load: float) -> Outcome:
     total = Outcome(0, 0, ())
-    for seed in range(6):
+    for seed in range(N_SEEDS):
         queue = make_queue(SLOTS)
         queue._run_times = run_times()
-        total += TargetReplay(queue).play(_mixed_load(load, 20.0, seed))
+        total += TargetReplay(queue).play(_mixed_load(load, SECONDS, seed))
     return total
 
 
 @pytest.mark.parametrize("load", [1.1, 1.3, 1.6])
 def test_more_long_requests_are_in_time_beside_short_calls(load):
+    """Under overload nearly as many are in time as the target can run at all."""
     naive, outcome = _replay(OneMean, load), _replay(RunTimes, load)
-    assert outcome.n_in_time > naive.n_in_time * 1.2
+    assert outcome.n_in_time >= CAPACITY * 0.85 > naive.n_in_time
     assert sum(outcome.held_s) <= sum(naive.held_s) * 1.05
 
 
