Get records from neighbours while the store shuts this node out

Ruled out: a stuck read (ECONNREFUSED in the log), stale answers. Change: a reader without the store is passed over, also by itself, so that the next node feeds the zone, the passed over ones included; a node without store and feeder asks a neighbour in turn each 0.4 s. While the store is away for all, each node is the feeder for a moment, so a node without the store sends no records unasked. Why the nodes read nothing for some seconds after the end of the outage is not yet known.

--- a/src/heatherspur/feed/conf.py
+++ b/src/heatherspur/feed/conf.py
@@ -1,6 +1,7 @@
 """Fixed figures of the feed subpackage, in seconds unless stated otherwise."""
 
 __all__ = [
+    "ASK_GAP_S",
     "BEAT_S",
     "CATCH_UP_S",
     "MAX_FED",
@@ -17,6 +18,9 @@
 # A feeder that has just started learns of the nodes that it feeds within this time; one
 # that stays silent is passed over for a while, so that the next one takes its place.
 PASSED_OVER_S = 5.0
+# A node without store and feeder asks neighbours in turn; the third answer at the
+# latest comes within the bound on configuration.
+ASK_GAP_S = 0.4
 # Records that a node has heard of arrive within two ways between zones; later ones
 # are stuck.
 CATCH_UP_S = 0.3
--- a/src/heatherspur/feed/follower.py
+++ b/src/heatherspur/feed/follower.py
@@ -2,12 +2,17 @@
 
 Load pattern: the neighbour freezes, loses the store without noticing, or waits for
 an answer that was lost, just as a configuration is written. Whoever has read it
-tells the readers of all zones how far the topic goes.
+tells the readers of all zones how far the topic goes. The store may also shut out some
+nodes, the neighbour among them, while it serves others: these then have the records.
 """
 
-from collections.abc import Sequence
-
-from heatherspur.feed.conf import CATCH_UP_S, MAX_REFRESH_GAP_S, PASSED_OVER_S, SILENT_S
+from heatherspur.feed.conf import (
+    ASK_GAP_S,
+    CATCH_UP_S,
+    MAX_REFRESH_GAP_S,
+    PASSED_OVER_S,
+    SILENT_S,
+)
 
 __all__ = ["Follower"]
 
@@ -17,12 +22,14 @@
 
     def __init__(self) -> None:
         self._fed_until_s = 0.0
+        self._fed_by = ""
         self._feeder: str | None = None
         self._feeder_silent_since_s = 0.0
         self._passed_over_until_by_node: dict[str, float] = {}
         self._behind_since_s: float | None = None
         self._refresh_at_s = 0.0
         self._refresh_gap_s = CATCH_UP_S
+        self._next_ask_s = 0.0
         self.known_end = 0
 
     def expect(self, feeder: str | None, now: float) -> None:
@@ -35,16 +42,15 @@
             self._feeder = feeder
             self._feeder_silent_since_s = now
         elif feeder and now - self._feeder_silent_since_s > 2 * SILENT_S:
-            self._passed_over_until_by_node[feeder] = now + PASSED_OVER_S
+            self.pass_over(feeder, now)
 
-    def answering(self, nodes: Sequence[str], now: float) -> list[str]:
-        """Return the nodes that may be feeders.
+    def passed_over(self, now: float) -> frozenset[str]:
+        """Return the nodes that are no feeders at present.
 
-        :param nodes: Nodes of this node's availability zone.
         :param now: Clock reading in seconds.
         """
         until_by_node = self._passed_over_until_by_node
-        return [node for node in nodes if now >= until_by_node.get(node, 0.0)]
+        return frozenset(n for n, until_s in until_by_node.items() if now < until_s)
 
     def hear_beat(self, node: str, reads_store: bool, now: float) -> None:
         """Take a sign of life of a neighbour that feeds this node.
@@ -53,11 +59,25 @@
         :param reads_store: Whether it gets answers from the store.
         :param now: Clock reading in seconds.
         """
-        self._fed_until_s = now + SILENT_S if reads_store else 0.0
+        if not reads_store:
+            if node == self._fed_by:
+                self._fed_until_s = 0.0
+            self.pass_over(node, now)
+            return
+        self._fed_by = node
+        self._fed_until_s = now + SILENT_S
         if node == self._feeder:
             self._feeder_silent_since_s = now
         self._passed_over_until_by_node.pop(node, None)
 
+    def pass_over(self, node: str, now: float) -> None:
+        """Take no records of a node for a while, since it gets none itself.
+
+        :param node: The node; it may be this one.
+        :param now: Clock reading in seconds.
+        """
+        self._passed_over_until_by_node[node] = now + PASSED_OVER_S
+
     def hear_end(self, next_offset: int) -> None:
         """Note how far somebody has read the configuration's topic.
 
@@ -99,3 +119,14 @@
         self._refresh_gap_s = min(MAX_REFRESH_GAP_S, self._refresh_gap_s * 2)
         self._refresh_at_s = now + self._refresh_gap_s
         return True
+
+    def take_ask(self, reads_store: bool, now: float) -> bool:
+        """Tell whether to ask a neighbour for records.
+
+        :param reads_store: Whether this node gets answers from the store.
+        :param now: Clock reading in seconds.
+        """
+        if reads_store or self.is_fed(now) or now < self._next_ask_s:
+            return False
+        self._next_ask_s = now + ASK_GAP_S
+        return True
--- a/src/heatherspur/feed/plan.py
+++ b/src/heatherspur/feed/plan.py
@@ -5,7 +5,7 @@
 agreed; where their views differ, a node is fed twice or reads the store itself.
 """
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
 
 from heatherspur.core import stable_hash
 from heatherspur.feed.conf import MAX_FED
@@ -23,29 +23,39 @@
     def __init__(self, me: str, zone: str) -> None:
         self._me = me
         self._zone = zone
-        self._nodes_by_zone: Mapping[str, Sequence[str]] = {}
+        self._chosen_for: tuple = ()
         self.is_feeder = False
         self.own_feeder: str | None = None
         self.fed_nodes: tuple[str, ...] = ()
         self.feeders: tuple[str, ...] = ()
 
-    def update(self, nodes_by_zone: Mapping[str, Sequence[str]]) -> None:
+    def update(
+        self,
+        nodes_by_zone: Mapping[str, Sequence[str]],
+        passed_over: Collection[str] = (),
+    ) -> None:
         """Choose anew if the members changed.
 
         :param nodes_by_zone: Nodes that answer, this one included.
+        :param passed_over: Nodes that are fed, but feed nobody.
         """
-        if nodes_by_zone == self._nodes_by_zone:
+        if (nodes_by_zone, passed_over) == self._chosen_for:
             return
-        self._nodes_by_zone = nodes_by_zone
+        self._chosen_for = (nodes_by_zone, passed_over)
         # A second reader tells the first that its reads are stuck; usually that of
         # another zone does.
         n_least = 1 if len(nodes_by_zone) > 1 else 2
         feeders_by_zone = {
-            zone: _feeders(nodes, n_least) for zone, nodes in nodes_by_zone.items()
+            zone: _feeders(
+                [node for node in nodes if node not in passed_over] or nodes, n_least
+            )
+            for zone, nodes in nodes_by_zone.items()
         }
         own = feeders_by_zone.get(self._zone, [])
         self.is_feeder = self._me in own
-        self.own_feeder = None if self.is_feeder else _feeder_of(self._me, own)
+        self.own_feeder = None
+        if not self.is_feeder:
+            self.own_feeder = _feeder_of(self._me, own)
         self.fed_nodes = tuple(
             node
             for node in nodes_by_zone.get(self._zone, ())
--- a/src/heatherspur/link/hub.py
+++ b/src/heatherspur/link/hub.py
@@ -63,6 +63,7 @@
     m.FeedRecords: "feed",
     m.FeedBeat: "feed",
     m.FeedEnd: "feed",
+    m.FeedAsk: "feed",
 }
 
 log = logging.getLogger("heatherspur.link")
--- a/src/heatherspur/link/messages.py
+++ b/src/heatherspur/link/messages.py
@@ -7,7 +7,7 @@
 
 from typing import NamedTuple
 
-from heatherspur.link.news import FeedBeat, FeedEnd, FeedRecord, FeedRecords
+from heatherspur.link.news import FeedAsk, FeedBeat, FeedEnd, FeedRecord, FeedRecords
 from heatherspur.link.reservations import (
     Answer,
     Decline,
@@ -30,6 +30,7 @@
     "Execute",
     "Failed",
     "Failure",
+    "FeedAsk",
     "FeedBeat",
     "FeedEnd",
     "FeedRecord",
@@ -453,6 +454,7 @@
     | FeedRecords
     | FeedBeat
     | FeedEnd
+    | FeedAsk
 )
 
 CODES: dict[type, int] = {
@@ -493,4 +495,5 @@
     FeedRecords: 80,
     FeedBeat: 81,
     FeedEnd: 82,
+    FeedAsk: 83,
 }
--- a/src/heatherspur/link/news.py
+++ b/src/heatherspur/link/news.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-__all__ = ["FeedBeat", "FeedEnd", "FeedRecord", "FeedRecords"]
+__all__ = ["FeedAsk", "FeedBeat", "FeedEnd", "FeedRecord", "FeedRecords"]
 
 
 class FeedRecord(NamedTuple):
@@ -52,3 +52,14 @@
     """
 
     next_offset: int
+
+
+class FeedAsk(NamedTuple):
+    """Asks a neighbour for records, since the store gives none.
+
+    :param topic: Name of the topic.
+    :param since: Offset up to which it is known; 0 for all of it.
+    """
+
+    topic: str
+    since: int
--- a/src/heatherspur/sidecar/feed.py
+++ b/src/heatherspur/sidecar/feed.py
@@ -1,6 +1,7 @@
 """Gets the store's records, from the store or from a neighbour, and passes them on."""
 
 import logging
+import random
 
 from circuits import BaseComponent, handler
 
@@ -44,6 +45,9 @@
         self._records_by_topic = {topic: TopicRecords() for topic in topics}
         self._plan = FeedPlan(fleet.me, fleet.zone)
         self._follower = Follower()
+        self._rng = random.Random()
+        # The neighbour that sent the last beat; a node that starts knows no other.
+        self._heard_nodes: set[str] = set()
         self._next_beat_s = 0.0
         self._is_fed = False
         # Offsets up to which a neighbour got the topics over its present link.
@@ -73,7 +77,13 @@
             self._feed(node)
 
     def _feed(self, node: str) -> None:
-        """Send a neighbour what it has not got yet."""
+        """Send a neighbour what it has not got yet.
+
+        A node without the store sends no records unasked: while the store is away
+        for all, each node in turn is the feeder for a moment.
+        """
+        if not self._store.reads_itself:
+            return
         sent_by_topic = self._sent_by_node.setdefault(node, {})
         for topic, known in self._records_by_topic.items():
             since = sent_by_topic.get(topic, 0)
@@ -92,10 +102,13 @@
             if isinstance(message, m.FeedRecords):
                 self._take(message)
             elif isinstance(message, m.FeedBeat):
+                self._heard_nodes = {link.node}
                 self._follower.hear_end(message.known_end)
                 self._follower.hear_beat(link.node, message.reads_store, now_s())
             elif isinstance(message, m.FeedEnd):
                 self._follower.hear_end(message.next_offset)
+            elif isinstance(message, m.FeedAsk):
+                self._answer(link, message)
 
     def _take(self, news: m.FeedRecords) -> None:
         """Take records of a neighbour, unless some before them are missing."""
@@ -129,9 +142,7 @@
 
     def _beat(self, now: float) -> None:
         nodes_by_zone = self._fleet.nodes_by_zone(now)
-        near = nodes_by_zone[self._fleet.zone]
-        nodes_by_zone[self._fleet.zone] = self._follower.answering(near, now)
-        self._plan.update(nodes_by_zone)
+        self._plan.update(nodes_by_zone, self._follower.passed_over(now))
         self._follower.expect(self._plan.own_feeder, now)
         for node in self._sent_by_node.keys() - set(self._plan.fed_nodes):
             del self._sent_by_node[node]
@@ -139,3 +150,25 @@
         for node in self._plan.fed_nodes:
             self._feed(node)
             self._links.send(node, m.FeedBeat(reads_store, self._follower.known_end))
+        if self._plan.is_feeder and not reads_store:
+            # The beats have said so; the next node in order takes over.
+            self._follower.pass_over(self._fleet.me, now)
+        if self._follower.take_ask(reads_store, now):
+            near = set(nodes_by_zone[self._fleet.zone]) | self._heard_nodes
+            near.discard(self._fleet.me)
+            if near:
+                self._ask(self._rng.choice(sorted(near)))
+
+    def _ask(self, node: str) -> None:
+        """Ask a neighbour for what the store does not give."""
+        for topic, known in self._records_by_topic.items():
+            since = known.next_offset if known.is_known else 0
+            self._links.send(node, m.FeedAsk(topic, since))
+
+    def _answer(self, link, ask: m.FeedAsk) -> None:
+        """Send a neighbour the records that it asked for, if there are any."""
+        known = self._records_by_topic.get(ask.topic)
+        if known is None or not known.is_known or known.next_offset <= ask.since:
+            return
+        records = tuple(m.FeedRecord(*record) for record in known.since(ask.since))
+        link.send(m.FeedRecords(ask.topic, ask.since, known.next_offset, records))
--- a/tests/test_feed_path.py
+++ b/tests/test_feed_path.py
@@ -126,3 +126,31 @@
     time.sleep(IN_FORCE_S)
     others = [host for host in site.hosts if host != feeder]
     assert _old_key_works(site, others) == []
+
+
+def _cut_from_store(site, hosts) -> None:
+    for host in hosts:
+        relay = site.relays_by_host[host.name]
+        relay.drop()
+        relay.stall(to=True, back=True)
+
+
+def test_nodes_that_the_store_shuts_out_get_changes_from_their_neighbours(site):
+    """The reader of the zone is shut out with another node; one still gets answers."""
+    feeder = _feeder(site)
+    near = [host for host in site.hosts if host.zone == "a"]
+    other = next(host for host in near if host != feeder)
+    _cut_from_store(site, (feeder, other))
+    time.sleep(5)
+    _change_key(site, 2)
+    time.sleep(IN_FORCE_S)
+    assert _old_key_works(site, site.hosts) == []
+
+
+def test_a_reader_that_is_shut_out_is_replaced(site):
+    feeder = _feeder(site)
+    near = [host for host in site.hosts if host.zone == "a" and host != feeder]
+    _cut_from_store(site, (feeder,))
+    time.sleep(5)
+    assert sum(_is_fed(site, host) for host in near) == 1
+    assert _is_fed(site, feeder)
