Let slow answers of the store arrive; read only the newest after an outage

Found on the way: a call failed after a fixed time though its answer was arriving, and a node read every configuration that it had missed. Change: the time-out counts from the last byte; each time-out in a row doubles the margin, up to 4 s; a read for missing records breaks off long waits only; after 4 s without the store the newest configuration is read instead of all. Test: test_a_node_behind_a_slow_link_catches_up_after_an_outage, failed before.

--- a/src/heatherspur/platform/calls.py
+++ b/src/heatherspur/platform/calls.py
@@ -12,7 +12,11 @@
 )
 from heatherspur.net import Stream, StreamHub
 
-__all__ = ["StoreCall", "StoreChannel", "StoreHub"]
+__all__ = ["TIMED_OUT", "StoreCall", "StoreChannel", "StoreHub"]
+
+TIMED_OUT = "timed out"
+# A configuration of 300 KB takes half a second on the slowest links of today's hosts.
+MAX_ANSWER_S = 15.0
 
 
 class StoreCall(NamedTuple):
@@ -23,8 +27,9 @@
     :param path: Request target.
     :param body: Request body.
     :param sent_at_s: Clock reading when it was sent.
-    :param timeout_s: Seconds until it has failed.
+    :param timeout_s: Seconds without a byte of the answer until it has failed.
     :param context: Whatever the caller keeps with the call.
+    :param waits_long: Whether the store may keep the answer back for seconds.
     """
 
     kind: str
@@ -34,6 +39,7 @@
     sent_at_s: float
     timeout_s: float
     context: Any = None
+    waits_long: bool = False
 
 
 class StoreChannel:
@@ -43,6 +49,7 @@
         self.stream: Stream | None = None
         self.protocol: TargetProtocol | None = None
         self.call: StoreCall | None = None
+        self.heard_at_s = 0.0
         self.status = 0
         self.body: list[bytes] = []
         self.next_try_at_s = 0.0
@@ -116,14 +123,18 @@
         self.expire_connects(now)
         for channel in channels:
             call = channel.call
-            if call is not None and now - call.sent_at_s > call.timeout_s:
-                self.drop(channel, "timed out")
+            if call is None:
+                continue
+            silent_s = now - max(call.sent_at_s, channel.heard_at_s)
+            if silent_s > call.timeout_s or now - call.sent_at_s > MAX_ANSWER_S:
+                self.drop(channel, TIMED_OUT)
 
     def on_bytes(self, stream: Stream, data: bytes) -> None:
         """Take bytes from the store."""
         channel: StoreChannel = stream.context
         if channel.stream is not stream:
             return
+        channel.heard_at_s = now_s()
         for event in channel.protocol.receive(data):
             if isinstance(event, ResponseHead):
                 channel.status = event.status
--- a/src/heatherspur/platform/keyed.py
+++ b/src/heatherspur/platform/keyed.py
@@ -7,7 +7,7 @@
 
 from heatherspur.core import Address, now_s
 from heatherspur.net import Keepalive
-from heatherspur.platform.calls import StoreCall, StoreChannel, StoreHub
+from heatherspur.platform.calls import TIMED_OUT, StoreCall, StoreChannel, StoreHub
 from heatherspur.platform.protocol import (
     STATUS_GONE,
     STATUS_OK,
@@ -32,9 +32,14 @@
 # which the store counts as stable again.
 READ_WAIT_S = 3.0
 READ_MARGIN_S = 1.0
+# A store that is slow answers later; each time-out in a row doubles the margin.
+MAX_READ_MARGIN_S = 4.0
 # The first reads after a start or an outage are short: a read that the store took
 # while a record was being written may not be woken by it.
 FIRST_READ_WAIT_S = 0.5
+# After a longer silence only the newest configuration is read: a row of large ones that
+# nobody needs any more takes seconds on a slow link.
+START_OVER_AFTER_S = READ_WAIT_S + READ_MARGIN_S
 # Records that come in quick succession are read together. The first topic has a bound
 # of 2 s; the others change most when many nodes start, and wait longer.
 FIRST_PAUSE_S = 0.25
@@ -91,6 +96,14 @@
         self.next_offset = 0
         self.oldest = 0
         self.pages: tuple[KeyedRecord, ...] = ()
+        # When the topic was last known to be read to its end.
+        self.current_at_s = 0.0
+        self.n_timeouts = 0
+
+    @property
+    def margin_s(self) -> float:
+        """Seconds that an answer may take besides its wait."""
+        return min(MAX_READ_MARGIN_S, READ_MARGIN_S * 2**self.n_timeouts)
 
 
 class KeyedHub(StoreHub):
@@ -132,6 +145,7 @@
         self._paused = paused
         for topic in self._topics:
             topic.wait_s = FIRST_READ_WAIT_S
+            topic.current_at_s = now_s()
             self._abandon(topic)
 
     def advance(self, name: str, next_offset: int) -> None:
@@ -144,13 +158,16 @@
         if topic.offset is None:
             self._abandon(topic)
         topic.offset = max(topic.offset or 0, next_offset)
+        topic.current_at_s = now_s()
 
     def refresh(self, name: str) -> None:
-        """Read a topic over a new connection, since the read under way is stuck.
+        """Read a topic over a new connection, if the read under way waits for long.
 
         :param name: Name of the topic.
         """
         topic = next(topic for topic in self._topics if topic.name == name)
+        if topic.call is not None and not topic.call.waits_long:
+            return
         topic.wait_s = FIRST_READ_WAIT_S
         topic.next_try_at_s = 0.0
         self._abandon(topic)
@@ -178,16 +195,21 @@
             self._start_write(now)
 
     def _start_read(self, topic: _Topic, now: float) -> None:
+        is_first = topic is self._topics[0]
+        if is_first and now - topic.current_at_s > START_OVER_AFTER_S:
+            topic.offset = None
         if topic.offset is None:
             path = newest_path(topic.name, topic.after)
-            call = StoreCall(
-                "newest", "GET", path, b"", now, CALL_TIMEOUT_S, topic.after
-            )
+            timeout_s = max(CALL_TIMEOUT_S, topic.margin_s)
+            call = StoreCall("newest", "GET", path, b"", now, timeout_s, topic.after)
         else:
             path = read_path(topic.name, topic.offset, topic.wait_s)
-            timeout_s = topic.wait_s + READ_MARGIN_S
+            timeout_s = topic.wait_s + topic.margin_s
+            waits_long = topic.wait_s > FIRST_READ_WAIT_S
             topic.wait_s = min(READ_WAIT_S, topic.wait_s * 2)
-            call = StoreCall("read", "GET", path, b"", now, timeout_s, topic.offset)
+            call = StoreCall(
+                "read", "GET", path, b"", now, timeout_s, topic.offset, waits_long
+            )
         self.send(topic, call)
 
     def _start_write(self, now: float) -> None:
@@ -211,6 +233,7 @@
         """Note that the store gave no answer."""
         if isinstance(channel, _Topic):
             channel.wait_s = FIRST_READ_WAIT_S
+            channel.n_timeouts += reason == TIMED_OUT
         extra = {"call": call.kind, "reason": reason}
         if channel is self._topics[0] and self.reachable:
             self.reachable = False
@@ -241,8 +264,8 @@
         topic.oldest = max(topic.oldest, oldest.unwrap_or(0))
         topic.offset, topic.after, topic.pages = None, "", ()
 
-    def _note_reachable(self, channel: StoreChannel) -> None:
-        channel.n_failures = 0
+    def _note_reachable(self, channel: _Topic) -> None:
+        channel.n_failures = channel.n_timeouts = 0
         if channel is self._topics[0] and not self.reachable:
             self.reachable = True
             logger.info("store: regained", extra={"topic": channel.name})
@@ -265,6 +288,7 @@
             return
         records, topic.pages = topic.pages, ()
         topic.offset = max(topic.next_offset, topic.oldest)
+        topic.current_at_s = now_s()
         self.fire(records_read(topic.name, records, topic.offset, True), "*")
         self._start_read(topic, now_s())
 
@@ -275,6 +299,7 @@
             return
         self._note_reachable(topic)
         answer = parsed.ok_value
+        topic.current_at_s = now_s()
         if not answer.records:
             self._start_read(topic, now_s())
             return
--- a/tests/standins/relay.py
+++ b/tests/standins/relay.py
@@ -1,4 +1,4 @@
-"""A TCP relay on loopback that can stall either way, delay, reset and go silent."""
+"""A TCP relay on loopback: stalls either way, delays, resets, goes silent, is slow."""
 
 import collections
 import contextlib
@@ -9,6 +9,7 @@
 import time
 
 READ_SIZE_BYTES = 65536
+SLOW_STEP_S = 0.02
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
@@ -28,6 +29,7 @@
         self.to_stalled = False
         self.from_stalled = False
         self.delay_s = 0.0
+        self.back_bytes_per_s = 0  # 0 for no limit
         self._resets = False
         self._delayed: collections.deque = collections.deque()
         self._mute: set[socket.socket] = set()
@@ -100,7 +102,11 @@
             return
         data = b""
         with contextlib.suppress(OSError):
-            data = source.recv(READ_SIZE_BYTES)
+            size = READ_SIZE_BYTES
+            if not is_towards and self.back_bytes_per_s:
+                size = max(1, int(self.back_bytes_per_s * SLOW_STEP_S))
+                time.sleep(SLOW_STEP_S)
+            data = source.recv(size)
             if not is_towards and sink in self._mute:
                 return
             if data and (self.delay_s or self._delayed):
--- a/tests/test_feed_path.py
+++ b/tests/test_feed_path.py
@@ -154,3 +154,37 @@
     time.sleep(5)
     assert sum(_is_fed(site, host) for host in near) == 1
     assert _is_fed(site, feeder)
+
+
+def _large_config(version: int, key: str = KEY) -> dict:
+    """Build a configuration of about 300 KB."""
+    tenants = [{"name": "inn", "api_keys": [key], "rate_per_s": 200, "burst": 200}]
+    config = make_config(version, tenants=tenants)
+    first = config["routes"][0]
+    config["routes"] += [
+        {**first, "name": f"more-{i}", "path_prefix": f"/more/{i:04}/"}
+        for i in range(1200)
+    ]
+    return config
+
+
+def test_a_node_behind_a_slow_link_catches_up_after_an_outage(tmp_path):
+    """Five configurations were written meanwhile; only the newest counts."""
+    with Site(tmp_path, (("a", "permits"),)) as site:
+        (host,) = site.hosts
+        relay = Relay(site.store)
+        site.stores_by_host = {host.name: relay.address}
+        try:
+            site.start(_large_config(1))
+            relay.drop()
+            relay.stall(back=True)
+            for version in range(2, 7):
+                time.sleep(1)
+                site.put_config(_large_config(version, OTHER_KEY))
+            relay.back_bytes_per_s = 200_000
+            relay.reset()
+            relay.stall()
+            time.sleep(IN_FORCE_AFTER_TROUBLE_S)
+            assert _old_key_works(site, site.hosts) == []
+        finally:
+            relay.stop()
