--- a/src/heatherspur/dispatch/dispatcher.py
+++ b/src/heatherspur/dispatch/dispatcher.py
@@ -8,7 +8,7 @@
 
 import itertools
 import random
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from functools import singledispatchmethod
 from typing import NamedTuple
 
@@ -48,11 +48,17 @@
     :param fleet: Members and their reachability.
     :param settings: Settings of the platform.
     :param rng: Source of random choices.
+    :param choose_grant: Chooses among the slots that are held for a request.
     """
 
     def __init__(
-        self, fleet: FleetView, settings: FleetSettings, rng: random.Random
+        self,
+        fleet: FleetView,
+        settings: FleetSettings,
+        rng: random.Random,
+        choose_grant: Callable[[OpenRequest], int] = best_grant,
     ) -> None:
+        self._choose_grant = choose_grant
         self._fleet = fleet
         self._settings = settings
         self._rng = rng
@@ -227,7 +233,7 @@
             return
         for number in opened.awaited_numbers:
             self._fleet.mark_slow(opened.nodes_by_number[number], now)
-        number = best_grant(opened)
+        number = self._choose_grant(opened)
         yield from self._execute(opened, number, now)
 
     def _execute(
