--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -10,6 +10,7 @@
 """
 
 import argparse
+import bisect
 import contextlib
 import random
 import signal
@@ -30,6 +31,13 @@
 HOSTS = (("a", "permits"), ("a", "permits"), ("b", "permits"), ("b", "permits"))
 PROMISES_NOT_RUN = (408, 421, 429, 503)
 RECOVERY_S = 15.0
+# A second customer that asks for far more than its limit, at every host.
+LIMITED_KEY = "l" * 20
+LIMITED_RATE, LIMITED_BURST = 10, 5
+PRESS_GAP_S = 0.05
+PRESSES_A_HOST = 2
+# What the users allow beside a limit in a window: a tenth, and a number of requests.
+LIMIT_WINDOW_S, LIMIT_OVERAGE, LIMIT_SLACK = 5.0, 0.1, 20
 MIN_SERVED_AFTER = 0.9
 KINDS = (
     "kill",
@@ -55,7 +63,21 @@
 GRAY_MODES = ("reset", "truncate", "garbage", "unsigned", "error", "shed", "extra")
 
 
+def _config(version: int) -> dict:
+    """Build a configuration with a second customer."""
+    config = make_config(version)
+    limited = {
+        "name": "pressing",
+        "api_keys": [LIMITED_KEY],
+        "rate_per_s": LIMITED_RATE,
+        "burst": LIMITED_BURST,
+    }
+    return {**config, "tenants": [*config["tenants"], limited]}
+
+
 class Seen(NamedTuple):
+    at_s: float
+    customer_key: str
     request_id: str
     once: bool
     status: int
@@ -83,18 +105,37 @@
             i = 0
             while self.running:
                 i += 1
-                self._ask(client, rng, f"c{number:03x}{i:012x}")
+                host = rng.choice(self.site.hosts)
+                self._ask(client, rng, host, KEY, f"c{number:03x}{i:012x}")
                 time.sleep(rng.random() * 0.06)
 
-    def _ask(self, client: httpx.Client, rng: random.Random, request_id: str) -> None:
+    def press(self, number: int) -> None:
+        """Send the limited customer's requests to one host, each for itself."""
+        rng = random.Random(number)
+        host = self.site.hosts[number % len(self.site.hosts)]
+        i = 0
+        while self.running:
+            i += 1
+            with httpx.Client(timeout=6) as client:
+                request_id = f"d{number:03x}{i:012x}"
+                self._ask(client, rng, host, LIMITED_KEY, request_id)
+            time.sleep(PRESS_GAP_S)
+
+    def _ask(
+        self,
+        client: httpx.Client,
+        rng: random.Random,
+        host: Host,
+        key: str,
+        request_id: str,
+    ) -> None:
         once = rng.random() < 0.5
         path = f"/{'once' if once else 'read'}/{request_id}"
-        host = rng.choice(self.site.hosts)
         fields = {
             "Host": "a.example",
             "Heatherspur-Attempt-Id": request_id,
             "Heatherspur-Deadline-Ms": "4000",
-            "Authorization": f"Bearer {KEY}",
+            "Authorization": f"Bearer {key}",
         }
         start_s = time.monotonic()
         status, whole = 0, True
@@ -107,7 +148,7 @@
         except httpx.HTTPError:
             pass
         seconds = time.monotonic() - start_s
-        self.seen.append(Seen(request_id, once, status, whole, seconds))
+        self.seen.append(Seen(start_s, key, request_id, once, status, whole, seconds))
 
     def restart(self, host: Host, number: int) -> None:
         process = self.site.processes_by_name[host.name]
@@ -137,7 +178,7 @@
         elif kind == "config":
             self.version += 1
             with contextlib.suppress(httpx.HTTPError):  # the store may be away
-                site.put_config(make_config(self.version))
+                site.put_config(_config(self.version))
         elif kind == "gray":
             site.control(host, mode=rng.choice(GRAY_MODES))
             time.sleep(length_s)
@@ -173,6 +214,10 @@
         threads = [
             threading.Thread(target=self.call, args=(i,)) for i in range(N_CALLERS)
         ]
+        threads += [
+            threading.Thread(target=self.press, args=(i,))
+            for i in range(PRESSES_A_HOST * len(self.site.hosts))
+        ]
         threads += [
             threading.Thread(target=self.trouble) for _ in range(N_TROUBLE_SERIES)
         ]
@@ -199,10 +244,22 @@
                 yield f"TWICE: {seen} ran {n_runs} times"
             if seen.once and seen.status in PROMISES_NOT_RUN and n_runs:
                 yield f"REFUSED: {seen} has run"
+        yield from self._over_limit(runs)
         fields = [f for h in site.hosts for f in site.control(h)["fields"]]
-        if any(KEY in str(f) for f in fields):
+        if any(key in str(f) for f in fields for key in (KEY, LIMITED_KEY)):
             yield "UNASKED: a key reached a target"
 
+    def _over_limit(self, runs: dict[str, int]) -> Iterator[str]:
+        """Count the limited customer's requests that ran, by when they were sent."""
+        limited = [seen for seen in self.seen if seen.customer_key == LIMITED_KEY]
+        times = sorted(seen.at_s for seen in limited if runs.get(seen.request_id))
+        allowed = (LIMITED_RATE * LIMIT_WINDOW_S + LIMITED_BURST) * (1 + LIMIT_OVERAGE)
+        for i, end_s in enumerate(times):
+            n = i + 1 - bisect.bisect_left(times, end_s - LIMIT_WINDOW_S)
+            if n > allowed + LIMIT_SLACK:
+                yield f"QUOTA: {n} requests of a customer ran in {LIMIT_WINDOW_S} s"
+                return
+
     def _not_recovered(self) -> Iterator[str]:
         until_s = time.monotonic() + RECOVERY_S
         waiting = list(self.site.hosts)
@@ -228,7 +285,7 @@
         site.stores_by_host = {n: r.address for n, r in soak.store_relays.items()}
         site.targets_by_host = {n: r.address for n, r in soak.target_relays.items()}
         try:
-            site.start()
+            site.start(_config(1))
             broken = soak.run(seconds)
         finally:
             soak.running = False
