--- a/tests/standins/platform_log.py
+++ b/tests/standins/platform_log.py
@@ -3,7 +3,9 @@
 ``PUT /faults`` takes ``{"down": true, "delay_s": 0.1, "lose_replies": 2,
 "retention": 100}``: an outage, a delay, a number of appends whose reply is lost
 after they took effect, and the number of records that are kept; ``hold_appends`` is a
-number of changes of entries that wait for each other.
+number of changes of entries that wait for each other; ``status`` is answered to every
+call instead of doing it, as 429 beyond the store's rates; ``forgetful`` drops all
+records but the newest of each key.
 """
 
 import argparse
@@ -23,6 +25,7 @@
     def __init__(self):
         self.records: list[bytes] = []
         self.oldest = 0
+        self.newest_by_key: dict[bytes, tuple[int, bytes]] = {}
         self.grown = asyncio.Event()
 
     @property
@@ -31,10 +34,16 @@
 
     def append(self, value: bytes) -> int:
         self.records.append(value)
+        key = value[1 : 1 + value[0]] if value else b""
+        self.newest_by_key[key] = (self.head - 1, value)
         self.grown.set()
         self.grown = asyncio.Event()
         return self.head - 1
 
+    def forget(self) -> None:
+        self.oldest = self.head
+        self.records.clear()
+
     def expire(self, retention: int) -> None:
         surplus = max(0, len(self.records) - retention)
         del self.records[:surplus]
@@ -51,6 +60,8 @@
         self.hold_appends = 0
         self.held: list[asyncio.Event] = []
         self.retention = 1_000_000
+        self.status = 0
+        self.forgetful = False
         self.n_requests = 0
         self.n_appends = 0
 
@@ -58,6 +69,9 @@
         if request.path == "/faults":
             for name, value in json.loads(request.body).items():
                 setattr(self, name, value)
+            if self.forgetful:
+                for stream in self.streams_by_name.values():
+                    stream.forget()
             return json_response({"ok": True})
         if request.path == "/counts":
             counts = {"requests": self.n_requests, "appends": self.n_appends}
@@ -68,6 +82,8 @@
         if self.down:
             return None
         self.n_requests += 1
+        if self.status:
+            return json_response({}, self.status)
         if self.delay_s:
             await asyncio.sleep(self.delay_s)
         parts = urlsplit(request.path)
@@ -107,13 +123,10 @@
 
     def _newest(self, stream: Stream) -> Response:
         items_by_key = {}
-        for i, record in enumerate(stream.records):
-            length = record[0]
-            key, value = record[1 : 1 + length].decode(), record[1 + length :]
-            items_by_key.pop(key, None)
+        for name, (offset, record) in stream.newest_by_key.items():
+            key, value = name.decode(), record[1 + len(name) :]
             if value:
                 text = base64.b64encode(value).decode()
-                offset = stream.oldest + i
                 items_by_key[key] = {"key": key, "value": text, "offset": offset}
         items = [items_by_key[key] for key in sorted(items_by_key)]
         answer = {"items": items, "has_more": False, "end_offset": stream.head}
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -12,6 +12,8 @@
 
 IN_FORCE_S = 2.0
 GRACE_S = 6.0
+# The store counts as stable 3 s after its trouble; from then on the bound holds.
+BACK_AFTER_OUTAGE_S = 3.0 + IN_FORCE_S
 
 
 @pytest.fixture
@@ -220,6 +222,33 @@
     assert site.ask(host, "/read/1").status_code == 200
 
 
+@pytest.mark.parametrize("status", [429, 503])
+def test_store_that_refuses_calls_is_asked_again(site, status):
+    site.store_faults(status=status)
+    time.sleep(3.5)
+    assert [site.ask(h, "/read/1").status_code for h in site.hosts] == [200] * 2
+    site.store_faults(status=0)
+    site.put_config(make_config(2, tenants=[]))
+    wait_until(lambda: _statuses(site) == {401}, BACK_AFTER_OUTAGE_S)
+
+
+def test_store_that_forgets_its_history_is_read_anew(site):
+    site.store_faults(forgetful=True)
+    site.store_faults(forgetful=False)
+    site.put_config(make_config(2, tenants=[]))
+    wait_until(lambda: _statuses(site) == {401}, BACK_AFTER_OUTAGE_S)
+    host = site.hosts[0]
+    site.signal(host, signal.SIGKILL)
+    site.processes_by_name[host.name].wait()
+    site.start_node(host)
+    wait_until(lambda: site.is_ready(host))
+    assert site.n_members(host) == len(site.hosts)
+
+
+def _statuses(site) -> set[int]:
+    return {site.ask(host, "/read/1").status_code for host in site.hosts}
+
+
 def test_gone_caller_frees_the_target(site):
     for host in site.hosts:
         site.control(host, service_s=5.0)
