Leave nodes that are cut off what they admit by themselves

Ruled out: two owners (a node that is cut off asks owners that do not answer). Change: the owner lowers its rate by what the nodes that did not answer in the last 3 s may admit; a node that misses two thirds of the others admits from its own part only, also where it would own the limit; that part begins with one token and not with a burst. Test: test_owner_and_nodes_that_are_cut_off_admit_the_rate_together (fails where the owner does not know of them).

--- a/src/heatherspur/dispatch/conf.py
+++ b/src/heatherspur/dispatch/conf.py
@@ -7,6 +7,7 @@
 __all__ = [
     "ASK_MORE_AFTER_S",
     "COLLECT_S",
+    "CUT_OFF_PART",
     "FALLBACK_SHARE",
     "FUTILE_PROBE_GAP_S",
     "GRANT_TIMEOUT_S",
@@ -15,6 +16,7 @@
     "MAX_FINAL_DECLINES",
     "MAX_PROBE_GAP_S",
     "MAX_TOKEN_WAIT_S",
+    "MISSING_S",
     "NO_TARGET_WAIT_S",
     "N_FUTILE",
     "N_REMOTE_A_ROUND",
@@ -60,8 +62,13 @@
 N_FUTILE = 2
 # Slow spells last some seconds.
 FUTILE_PROBE_GAP_S = 2.0
-# Nodes that are cut off and the owner of a limit may both admit for a while.
+# Nodes that are cut off admit from half of their part of a rate, which is about what
+# they are asked for; the owner of the limit leaves that much to those that it misses.
 FALLBACK_SHARE = 0.5
+# A node that did not answer this long ago may still be cut off; dials to it come rarer.
+MISSING_S = 3.0
+# A node that misses more than this part of the others is cut off itself.
+CUT_OFF_PART = 2 / 3
 # A reset link is dialled again at once; a cut one is tried a few times within the
 # timeout of most routes.
 RESUME_GAP_S = 0.4
--- a/src/heatherspur/dispatch/fleet.py
+++ b/src/heatherspur/dispatch/fleet.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from heatherspur.dispatch.conf import SLOW_S
+from heatherspur.dispatch.conf import MISSING_S, SLOW_S
 
 __all__ = ["FleetView", "Member"]
 
@@ -47,6 +47,7 @@
         self._down_until_by_node: dict[str, float] = {}
         self._down_s_by_node: dict[str, float] = {}
         self._slow_until_by_node: dict[str, float] = {}
+        self._missed_at_by_node: dict[str, float] = {}
 
     def put(self, host: str, member: Member) -> None:
         """Take a host's newest record.
@@ -92,6 +93,19 @@
         """Number of nodes known."""
         return max(1, len(self.members_by_host))
 
+    def missing_part(self, now: float) -> float:
+        """Return the part of the known nodes that did not answer lately, from 0 to 1.
+
+        :param now: Clock reading in seconds.
+        """
+        known = {member.node for member in self.members_by_host.values()} - {self.me}
+        missing = (
+            node
+            for node, at_s in self._missed_at_by_node.items()
+            if node in known and now - at_s < MISSING_S
+        )
+        return sum(1 for _ in missing) / max(1, len(known))
+
     @property
     def n_ready(self) -> int:
         """Number of targets that take new requests."""
@@ -129,6 +143,7 @@
         :param node: Node id.
         :param now: Clock reading in seconds.
         """
+        self._missed_at_by_node[node] = now
         down_s = self._down_s_by_node.get(node, MIN_DOWN_S / 2) * 2
         self._down_s_by_node[node] = min(MAX_DOWN_S, down_s)
         self._down_until_by_node[node] = now + self._down_s_by_node[node]
@@ -156,3 +171,4 @@
         """
         self._down_until_by_node.pop(node, None)
         self._down_s_by_node.pop(node, None)
+        self._missed_at_by_node.pop(node, None)
--- a/src/heatherspur/dispatch/quota.py
+++ b/src/heatherspur/dispatch/quota.py
@@ -5,7 +5,8 @@
 answer; the others ask it for a token a request. A new owner starts with an empty
 bucket, and one that stops being the owner keeps its bucket without filling it, so that
 a change of owner hands out no second burst, also where owners change back and forth.
-A node that can't reach the owner admits from a small share of its own. A request whose
+A node that can't reach the owner admits from a small share of its own, and the owner
+leaves as much of the rate to the nodes that it can't reach. A request whose
 token is due in a moment waits for it: most callers don't come back after a refusal.
 """
 
@@ -60,6 +61,22 @@
         self._customers_by_name: dict[str, Customer] = {}
         self._buckets_by_name: dict[str, Bucket] = {}
         self._owned_names: set[str] = set()
+        self._part = 1.0
+
+    def set_missing(self, part: float, now: float) -> None:
+        """Leave nodes that can't be reached what they admit by themselves.
+
+        :param part: Part of the nodes that did not answer lately, from 0 to 1.
+        :param now: Clock reading in seconds.
+        """
+        kept = 1 - FALLBACK_SHARE * part
+        if kept == self._part:
+            return
+        self._part = kept
+        for name in self._owned_names:
+            customer = self._customers_by_name[name]
+            bucket = self._buckets_by_name[name]
+            bucket.resize(customer.rate * kept, bucket.capacity, now)
 
     def set_customers(self, customers: Iterable[Customer], now: float) -> None:
         """Take the customers of the newest configuration.
@@ -75,7 +92,8 @@
             customer = self._customers_by_name[name]
             if name not in self._owned_names:
                 bucket.updated_at_s = now
-            bucket.resize(customer.rate, max(MIN_BURST, customer.burst), now)
+            rate = customer.rate * self._part
+            bucket.resize(rate, max(MIN_BURST, customer.burst), now)
 
     def own(self, names: Iterable[str], now: float) -> None:
         """Fill the buckets of just these customers.
@@ -94,10 +112,12 @@
         bucket = self._buckets_by_name.get(name)
         if bucket is not None:
             bucket.updated_at_s = now
+            bucket.rate = self._customers_by_name[name].rate * self._part
             return
         customer = self._customers_by_name[name]
         capacity = max(MIN_BURST, customer.burst)
-        self._buckets_by_name[name] = Bucket(customer.rate, capacity, now)
+        rate = customer.rate * self._part
+        self._buckets_by_name[name] = Bucket(rate, capacity, now)
 
     def lend(self, ask: m.TokenAsk, now: float) -> m.TokenGrant:
         """Answer a node that asks for tokens.
@@ -153,6 +173,7 @@
         self._nodes: list[str] = []
         self._owners_by_name: dict[str, str] = {}
         self._n_nodes = 1
+        self.is_cut_off = False
 
     def set_nodes(
         self, nodes: list[str], n_known: int, customers: Iterable[Customer], now: float
@@ -191,7 +212,9 @@
         node = self._owners_by_name.get(customer.name, self._me)
         loan = next(self._loans)
         ask = m.TokenAsk(loan, SHARE, customer.name, 1)
-        if node == self._me:
+        if self.is_cut_off:
+            yield self._fall_back(exchange, customer, now)
+        elif node == self._me:
             yield from self._take(exchange, self._owner.lend(ask, now), now)
         elif now < self._silent_until_by_node.get(node, 0.0):
             yield self._fall_back(exchange, customer, now)
@@ -206,7 +229,8 @@
         bucket = self._fallbacks_by_name.get(customer.name)
         if bucket is None:
             bucket = Bucket(rate, capacity, now)
-            bucket.level = capacity
+            # The owner may have lent the burst a moment ago.
+            bucket.level = MIN_BURST
             self._fallbacks_by_name[customer.name] = bucket
         bucket.resize(rate, capacity, now)
         amount = bucket.lend(1, now)
--- a/src/heatherspur/dispatch/tests/test_quota.py
+++ b/src/heatherspur/dispatch/tests/test_quota.py
@@ -1,10 +1,16 @@
 """Rates and bursts over all nodes together."""
 
+import bisect
+
 import pytest
 
-from heatherspur.dispatch.conf import MAX_TOKEN_WAIT_S
+from heatherspur.dispatch.conf import MAX_TOKEN_WAIT_S, MISSING_S
 from heatherspur.dispatch.quota import Admitted, OverLimit, QuotaClient, QuotaOwner
-from heatherspur.dispatch.tests.builders import make_customer
+from heatherspur.dispatch.tests.builders import (
+    make_customer,
+    make_fleet,
+    make_member,
+)
 from heatherspur.exchange import SendTo
 from heatherspur.link import messages as m
 
@@ -126,3 +132,71 @@
     assert list(client.acquire(1, customer, 10.001)) == []
     assert list(client.tick(10.002)) == []
     assert list(client.tick(10.006)) == [Admitted(1)]
+
+
+NOTICED_S = 1.5
+WINDOW_S, OVERAGE, SLACK = 5.0, 0.1, 20
+
+
+def _admitted_during_a_cut(owner_knows: bool) -> list[float]:
+    """Replay a flood while half of 26 nodes reach nobody; return when tokens went."""
+    customer = make_customer(rate=48, burst=36)
+    nodes = [f"10.0.1.{i}:80" for i in range(26)]
+    owner = QuotaOwner()
+    owner.set_customers([customer], 0.0)
+    owner.own([customer.name], 0.0)
+    cut = [QuotaClient(f"cut-{i}", QuotaOwner()) for i in range(13)]
+    for client in cut:
+        client.set_nodes(nodes, len(nodes), [customer], 0.0)
+    times = []
+    for step in range(1400):
+        now = 20 + step / 100
+        if owner_knows and now >= 20 + NOTICED_S:
+            owner.set_missing(len(cut) / len(nodes), now)
+        if owner.lend(m.TokenAsk(step, 0, customer.name, 1), now).amount:
+            times.append(now)
+        for client in cut:
+            messages = list(client.tick(now))
+            if step % 10 == 0:
+                messages += list(client.acquire(step, customer, now))
+            times += [now for x in messages if isinstance(x, Admitted)]
+    return times
+
+
+def _most_in_a_window(times: list[float]) -> int:
+    times = sorted(times)
+    return max(
+        i + 1 - bisect.bisect_left(times, end_s - WINDOW_S)
+        for i, end_s in enumerate(times)
+    )
+
+
+def test_owner_and_nodes_that_are_cut_off_admit_the_rate_together():
+    allowed = (48 * WINDOW_S + 36) * (1 + OVERAGE) + SLACK
+    assert _most_in_a_window(_admitted_during_a_cut(owner_knows=False)) > allowed
+    assert _most_in_a_window(_admitted_during_a_cut(owner_knows=True)) <= allowed
+
+
+def test_node_that_misses_most_others_admits_from_its_share_only():
+    customer = make_customer(rate=30, burst=3)
+    owner = QuotaOwner()
+    owner.set_customers([customer], 0.0)
+    client = QuotaClient(NODES[0], owner)
+    client.set_nodes(NODES[:1], 3, [customer], 0.0)
+    client.is_cut_off = True
+    n_admitted = sum(
+        isinstance(message, Admitted)
+        for i in range(500)
+        for message in client.acquire(i, customer, 10 + i / 100)
+    )
+    assert n_admitted <= 30 * 5 / 3 / 2 + 2
+
+
+def test_missing_nodes_are_forgotten_when_they_answer_or_after_a_while():
+    fleet = make_fleet(*(make_member(number) for number in (2, 3, 4, 5)))
+    fleet.mark_down("10.0.0.2:80", 10.0)
+    fleet.mark_down("10.0.0.3:80", 10.0)
+    assert fleet.missing_part(10.5) == 0.5
+    fleet.mark_up("10.0.0.2:80")
+    assert fleet.missing_part(10.5) == 0.25
+    assert fleet.missing_part(10.0 + MISSING_S) == 0.0
--- a/src/heatherspur/sidecar/entry.py
+++ b/src/heatherspur/sidecar/entry.py
@@ -10,6 +10,7 @@
 
 from heatherspur.core import now_s
 from heatherspur.dispatch import Customer, FleetSettings, Request, RoutingTable
+from heatherspur.dispatch.conf import CUT_OFF_PART
 from heatherspur.dispatch.dispatcher import Dispatcher
 from heatherspur.dispatch.fleet import FleetView
 from heatherspur.dispatch.opened import Decided, Finished
@@ -110,6 +111,9 @@
 
     def _choose_owners(self) -> None:
         now = now_s()
+        missing = self._fleet.missing_part(now)
+        self._owner.set_missing(missing, now)
+        self._quota.is_cut_off = missing > CUT_OFF_PART
         nodes = self._fleet.nodes(now)
         self._quota.set_nodes(nodes, self._fleet.n_nodes, self._customers(), now)
 
