Let a cut off node's part of a limit begin empty; look longer for missing nodes

Tried: a third in place of half for cut off nodes; then test_cut_off_node_admits_a_small_share fails (7 of at least 10), so it was taken back.

--- a/src/heatherspur/dispatch/conf.py
+++ b/src/heatherspur/dispatch/conf.py
@@ -65,8 +65,9 @@
 # Nodes that are cut off admit from half of their part of a rate, which is about what
 # they are asked for; the owner of the limit leaves that much to those that it misses.
 FALLBACK_SHARE = 0.5
-# A node that did not answer this long ago may still be cut off; dials to it come rarer.
-MISSING_S = 3.0
+# A node that did not answer this long ago may still be cut off: the pause between two
+# dials grows to 2 s, and a dial takes 1 s.
+MISSING_S = 4.0
 # A node that misses more than this part of the others is cut off itself.
 CUT_OFF_PART = 2 / 3
 # A reset link is dialled again at once; a cut one is tried a few times within the
--- a/src/heatherspur/dispatch/quota.py
+++ b/src/heatherspur/dispatch/quota.py
@@ -228,9 +228,8 @@
         capacity = max(MIN_BURST, customer.burst / self._n_nodes)
         bucket = self._fallbacks_by_name.get(customer.name)
         if bucket is None:
+            # It begins empty: the owner may have lent the whole burst a moment ago.
             bucket = Bucket(rate, capacity, now)
-            # The owner may have lent the burst a moment ago.
-            bucket.level = MIN_BURST
             self._fallbacks_by_name[customer.name] = bucket
         bucket.resize(rate, capacity, now)
         amount = bucket.lend(1, now)
--- a/src/heatherspur/dispatch/tests/test_quota.py
+++ b/src/heatherspur/dispatch/tests/test_quota.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from heatherspur.dispatch.conf import MAX_TOKEN_WAIT_S, MISSING_S
+from heatherspur.dispatch.conf import FALLBACK_SHARE, MAX_TOKEN_WAIT_S, MISSING_S
 from heatherspur.dispatch.quota import Admitted, OverLimit, QuotaClient, QuotaOwner
 from heatherspur.dispatch.tests.builders import (
     make_customer,
@@ -189,7 +189,7 @@
         for i in range(500)
         for message in client.acquire(i, customer, 10 + i / 100)
     )
-    assert n_admitted <= 30 * 5 / 3 / 2 + 2
+    assert n_admitted <= 30 * 5 / 3 * FALLBACK_SHARE + 1
 
 
 def test_missing_nodes_are_forgotten_when_they_answer_or_after_a_while():
