Tell a node that is cut off by what it hears, and stop its buckets

Change: a node that misses a fifth of the others and has heard nobody for a second counts as cut off and admits from its part; its own buckets stop. An owner leaves out the parts of the nodes that it misses. Whoever is heard is not missed. Tests: test_node_is_cut_off_if_it_misses_others_and_hears_nobody and its neighbours.

--- a/src/heatherspur/dispatch/conf.py
+++ b/src/heatherspur/dispatch/conf.py
@@ -7,6 +7,7 @@
 __all__ = [
     "ASK_MORE_AFTER_S",
     "COLLECT_S",
+    "CUT_OFF_AFTER_S",
     "CUT_OFF_PART",
     "FALLBACK_SHARE",
     "FUTILE_PROBE_GAP_S",
@@ -63,13 +64,15 @@
 # Slow spells last some seconds.
 FUTILE_PROBE_GAP_S = 2.0
 # Nodes that are cut off admit from half of their part of a rate, which is about what
-# they are asked for; the owner of the limit leaves that much to those that it misses.
+# they are asked for; an owner leaves the whole part of a node that it misses.
 FALLBACK_SHARE = 0.5
 # A node that did not answer this long ago may still be cut off: the pause between two
 # dials grows to 2 s, and a dial takes 1 s.
 MISSING_S = 4.0
-# A node that misses more than this part of the others is cut off itself.
-CUT_OFF_PART = 2 / 3
+# A node that misses this part of the others and hears nobody is cut off itself: under
+# load each node hears others many times a second.
+CUT_OFF_PART = 0.2
+CUT_OFF_AFTER_S = 1.0
 # A reset link is dialled again at once; a cut one is tried a few times within the
 # timeout of most routes.
 RESUME_GAP_S = 0.4
--- a/src/heatherspur/dispatch/fleet.py
+++ b/src/heatherspur/dispatch/fleet.py
@@ -3,7 +3,12 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from heatherspur.dispatch.conf import MISSING_S, SLOW_S
+from heatherspur.dispatch.conf import (
+    CUT_OFF_AFTER_S,
+    CUT_OFF_PART,
+    MISSING_S,
+    SLOW_S,
+)
 
 __all__ = ["FleetView", "Member"]
 
@@ -48,6 +53,7 @@
         self._down_s_by_node: dict[str, float] = {}
         self._slow_until_by_node: dict[str, float] = {}
         self._missed_at_by_node: dict[str, float] = {}
+        self._heard_at_s = 0.0
 
     def put(self, host: str, member: Member) -> None:
         """Take a host's newest record.
@@ -106,6 +112,24 @@
         )
         return sum(1 for _ in missing) / max(1, len(known))
 
+    def note_heard(self, node: str, now: float) -> None:
+        """Note that a message of a node came.
+
+        :param node: Node id; this node's own messages do not count.
+        :param now: Clock reading in seconds.
+        """
+        if node != self.me:
+            self._heard_at_s = now
+            self._missed_at_by_node.pop(node, None)
+
+    def is_cut_off(self, now: float) -> bool:
+        """Tell whether this node seems to reach none of the others.
+
+        :param now: Clock reading in seconds.
+        """
+        is_deaf = now - self._heard_at_s >= CUT_OFF_AFTER_S
+        return is_deaf and self.missing_part(now) >= CUT_OFF_PART
+
     @property
     def n_ready(self) -> int:
         """Number of targets that take new requests."""
--- a/src/heatherspur/dispatch/quota.py
+++ b/src/heatherspur/dispatch/quota.py
@@ -6,7 +6,7 @@
 bucket, and one that stops being the owner keeps its bucket without filling it, so that
 a change of owner hands out no second burst, also where owners change back and forth.
 A node that can't reach the owner admits from a small share of its own, and the owner
-leaves as much of the rate to the nodes that it can't reach. A request whose
+leaves the parts of the nodes that it can't reach to them. A request whose
 token is due in a moment waits for it: most callers don't come back after a refusal.
 """
 
@@ -30,6 +30,8 @@
 
 SHARE = 0
 MIN_BURST = 1.0
+# An owner that reaches nobody keeps about the part of one node of a small fleet.
+MIN_KEPT_PART = 0.03
 # An owner that did not answer is left out for about the time of a restart.
 SILENT_OWNER_S = 1.0
 
@@ -69,7 +71,7 @@
         :param part: Part of the nodes that did not answer lately, from 0 to 1.
         :param now: Clock reading in seconds.
         """
-        kept = 1 - FALLBACK_SHARE * part
+        kept = max(MIN_KEPT_PART, 1 - part)
         if kept == self._part:
             return
         self._part = kept
--- a/src/heatherspur/dispatch/tests/test_quota.py
+++ b/src/heatherspur/dispatch/tests/test_quota.py
@@ -199,4 +199,18 @@
     assert fleet.missing_part(10.5) == 0.5
     fleet.mark_up("10.0.0.2:80")
     assert fleet.missing_part(10.5) == 0.25
+    fleet.note_heard("10.0.0.3:80", 10.6)
+    assert fleet.missing_part(10.6) == 0.0
+    fleet.mark_down("10.0.0.3:80", 10.0)
     assert fleet.missing_part(10.0 + MISSING_S) == 0.0
+
+
+def test_node_is_cut_off_if_it_misses_others_and_hears_nobody():
+    fleet = make_fleet(*(make_member(number) for number in (2, 3, 4, 5)))
+    fleet.note_heard("10.0.0.2:80", 10.0)
+    assert not fleet.is_cut_off(12.0)  # nobody is missed: there is nothing to hear
+    fleet.mark_down("10.0.0.3:80", 12.0)
+    fleet.note_heard(fleet.me, 12.0)
+    assert fleet.is_cut_off(12.1)
+    fleet.note_heard("10.0.0.2:80", 12.2)
+    assert not fleet.is_cut_off(12.3)
--- a/src/heatherspur/sidecar/entry.py
+++ b/src/heatherspur/sidecar/entry.py
@@ -10,7 +10,6 @@
 
 from heatherspur.core import now_s
 from heatherspur.dispatch import Customer, FleetSettings, Request, RoutingTable
-from heatherspur.dispatch.conf import CUT_OFF_PART
 from heatherspur.dispatch.dispatcher import Dispatcher
 from heatherspur.dispatch.fleet import FleetView
 from heatherspur.dispatch.opened import Decided, Finished
@@ -111,9 +110,10 @@
 
     def _choose_owners(self) -> None:
         now = now_s()
-        missing = self._fleet.missing_part(now)
+        is_cut_off = self._fleet.is_cut_off(now)
+        missing = 1.0 if is_cut_off else self._fleet.missing_part(now)
+        self._quota.is_cut_off = is_cut_off
         self._owner.set_missing(missing, now)
-        self._quota.is_cut_off = missing > CUT_OFF_PART
         nodes = self._fleet.nodes(now)
         self._quota.set_nodes(nodes, self._fleet.n_nodes, self._customers(), now)
 
--- a/src/heatherspur/sidecar/links.py
+++ b/src/heatherspur/sidecar/links.py
@@ -57,6 +57,10 @@
             self._links_by_node[node] = link
         link.send(message)
 
+    @handler("received", channel="*")
+    def _on_received(self, link, messages):
+        self._fleet.note_heard(link.node, now_s())
+
     @handler("link_up", channel="*")
     def _on_link_up(self, link):
         if link.is_entry:
