--- a/src/heatherspur/dispatch/quota.py
+++ b/src/heatherspur/dispatch/quota.py
@@ -215,17 +215,20 @@
         loan = next(self._loans)
         ask = m.TokenAsk(loan, SHARE, customer.name, 1)
         if self.is_cut_off:
-            yield self._fall_back(exchange, customer, now)
+            yield from self._fall_back(exchange, customer, now)
         elif node == self._me:
             yield from self._take(exchange, self._owner.lend(ask, now), now)
         elif now < self._silent_until_by_node.get(node, 0.0):
-            yield self._fall_back(exchange, customer, now)
+            yield from self._fall_back(exchange, customer, now)
         else:
             until_s = now + QUOTA_TIMEOUT_S
             self._pending_by_loan[loan] = _Pending(exchange, customer, node, until_s)
             yield SendTo(node, ask)
 
-    def _fall_back(self, exchange: int, customer: Customer, now: float) -> NamedTuple:
+    def _fall_back(
+        self, exchange: int, customer: Customer, now: float
+    ) -> Iterator[NamedTuple]:
+        """Admit a request from this node's own part of the limit."""
         rate = customer.rate * FALLBACK_SHARE / self._n_nodes
         capacity = max(MIN_BURST, customer.burst / self._n_nodes)
         bucket = self._fallbacks_by_name.get(customer.name)
@@ -236,9 +239,14 @@
         bucket.resize(rate, capacity, now)
         amount = bucket.lend(1, now)
         bucket.close_loan(spent=amount, returned=0)
+        wait_s = bucket.wait_s(1)
         if amount:
-            return Admitted(exchange)
-        return OverLimit(exchange, bucket.wait_s(1))
+            yield Admitted(exchange)
+        elif wait_s <= MAX_TOKEN_WAIT_S:
+            bucket.level -= 1
+            self._admitted_at_by_exchange[exchange] = now + wait_s
+        else:
+            yield OverLimit(exchange, wait_s)
 
     def receive(self, grant: m.TokenGrant, now: float) -> Iterator[NamedTuple]:
         """Take an owner's answer.
@@ -275,4 +283,4 @@
             if now >= pending.until_s:
                 del self._pending_by_loan[loan]
                 self._silent_until_by_node[pending.node] = now + SILENT_OWNER_S
-                yield self._fall_back(pending.exchange, pending.customer, now)
+                yield from self._fall_back(pending.exchange, pending.customer, now)
