--- a/review/harness.py
+++ b/review/harness.py
@@ -30,6 +30,7 @@
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 KEY = "k" * 20
 HEARTBEAT_S = 1.5
+MAX_PLAY_S = 110.0
 # Bounds of the small site.
 BOUNDS = (
     "seed_lag=3s",
@@ -564,18 +565,22 @@
     """Play a case and exit: 0 if the rule held, 1 if it broke, 2 if it can't run."""
 
     async def run() -> int:
+        loop, own_task = asyncio.get_running_loop(), asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, own_task.cancel)
         try:
-            held = await asyncio.wait_for(play(site), 115)
-        except (TimeoutError, CaseError, OSError) as error:
+            held = await asyncio.wait_for(play(site), MAX_PLAY_S)
+        except (Exception, asyncio.CancelledError) as error:
             site.note("can't run", repr(error))
             print(f"can't run: {error!r}")
             return NOT_RUN
         finally:
             await site.stop()
-            tasks = asyncio.all_tasks() - {asyncio.current_task()}
+            tasks = asyncio.all_tasks() - {own_task}
             for task in tasks:
                 task.cancel()
-            await asyncio.wait(tasks, timeout=1) if tasks else None
+            if tasks:
+                await asyncio.wait(tasks, timeout=1)
             await asyncio.sleep(0)
         return HELD if held else BROKEN
 
