Record departures in the store before they are acknowledged

Cause: reports are ordered by start and sequence number, but the newest one was kept in the memory of the process alone. A node that was killed after its acknowledgement took a delayed heartbeat for the first report and reopened the target. The store held nothing that says otherwise: the member's record was deleted, as on a new host. Ruled out: views of other nodes (only the node beside the target grants slots, and the requests began at a node that was never disturbed), and the order of reports within one process (test_reports.py).

Change: a departure is a record of its own, written in the same call as the change of the member, and acknowledged when the store has confirmed it. A new process reads it from the store itself before a report takes effect; a neighbour may lack it, so a node that has just started is fed only after that read. Records are written in batches of a topic, so the number of calls stays the same. Why it works: start and sequence of the departure are now known to every later process, so the order of reports holds over restarts.

--- a/src/heatherspur/platform/__init__.py
+++ b/src/heatherspur/platform/__init__.py
@@ -5,8 +5,9 @@
 from heatherspur.platform.hub import LogHub, append, log_answered, log_expired
 from heatherspur.platform.keyed import (
     KeyedHub,
-    put_record,
+    put_records,
     records_read,
+    records_written,
     store_changed,
 )
 from heatherspur.platform.protocol import KeyedRecord, LogAnswer, LogRecord
@@ -24,7 +25,8 @@
     "append",
     "log_answered",
     "log_expired",
-    "put_record",
+    "put_records",
     "records_read",
+    "records_written",
     "store_changed",
 ]
--- a/src/heatherspur/platform/keyed.py
+++ b/src/heatherspur/platform/keyed.py
@@ -28,7 +28,13 @@
     read_path,
 )
 
-__all__ = ["KeyedHub", "put_record", "records_read", "store_changed"]
+__all__ = [
+    "KeyedHub",
+    "put_records",
+    "records_read",
+    "records_written",
+    "store_changed",
+]
 
 CONNECT_TIMEOUT_S = 1.0
 CALL_TIMEOUT_S = 2.0
@@ -78,13 +84,21 @@
     """
 
 
-class put_record(Event):  # noqa: N801
-    """Write a record, with retries until the store confirms it.
+class put_records(Event):  # noqa: N801
+    """Write records in one call, with retries until the store confirms them.
 
     A later record of the same key replaces one that is not written yet.
 
     :param topic: Name of the topic.
-    :param record: The record.
+    :param records: The records.
+    """
+
+
+class records_written(Event):  # noqa: N801
+    """The store confirmed records, which it retains from now on.
+
+    :param topic: Name of the topic.
+    :param records: The records.
     """
 
 
@@ -103,6 +117,7 @@
         self.next_offset = 0
         self.oldest = 0
         self.page_records: tuple[KeyedRecord, ...] = ()
+        self.was_read = False
         # Clock reading when the topic was last known to be up to date, in seconds.
         self.caught_up_at_s = 0.0
         self.n_timeouts = 0
@@ -146,6 +161,11 @@
         """Whether the newest records come directly from the store."""
         return self.reachable and not self._paused
 
+    @property
+    def has_read_topics(self) -> bool:
+        """Whether the store itself has provided all records of every topic once."""
+        return all(topic.was_read for topic in self._topics)
+
     def pause(self, paused: bool) -> None:
         """Pause reading while a neighbour forwards the records, or resume it.
 
@@ -162,10 +182,15 @@
     def advance(self, name: str, next_offset: int) -> None:
         """Advance the read position past records that a neighbour forwarded.
 
+        The first read of a topic continues all the same, since the neighbour may lack
+        the newest records.
+
         :param name: Name of the topic.
         :param next_offset: Offset of the next record to read.
         """
         topic = next(topic for topic in self._topics if topic.name == name)
+        if not topic.was_read:
+            return
         if topic.offset is None:
             self._cancel_call(topic)
         topic.offset = max(topic.offset or 0, next_offset)
@@ -192,9 +217,10 @@
         if stream is not None and not stream.closed:
             stream.abort()
 
-    @handler("put_record")
-    def _on_put_record(self, topic, record):
-        self._pending_writes[topic, record.key] = record
+    @handler("put_records")
+    def _on_put_records(self, topic, records):
+        for record in records:
+            self._pending_writes[topic, record.key] = record
         self._start_write(now_s())
 
     @handler("tick", channel="*")
@@ -229,10 +255,15 @@
     def _start_write(self, now: float) -> None:
         if not self._writer.is_free(now) or not self._pending_writes:
             return
-        (topic, _), record = next(iter(self._pending_writes.items()))
-        body = encode_record(encode_keyed(record))
+        topic, _ = next(iter(self._pending_writes))
+        records = tuple(
+            record
+            for (name, _), record in self._pending_writes.items()
+            if name == topic
+        )
+        body = b"".join(encode_record(encode_keyed(record)) for record in records)
         path = append_path(topic)
-        context = (topic, record)
+        context = (topic, records)
         self.send(
             self._writer,
             StoreCall("append", "POST", path, body, now, CALL_TIMEOUT_S, context),
@@ -305,6 +336,7 @@
             return
         records, topic.page_records = topic.page_records, ()
         topic.offset = max(topic.next_offset, topic.oldest)
+        topic.was_read = True
         topic.caught_up_at_s = now_s()
         self.fire(records_read(topic.name, records, topic.offset, True), "*")
         self._start_read(topic, now_s())
@@ -347,7 +379,9 @@
             self.fail_call(channel, call, f"status {status}")
             return
         channel.n_failures = 0
-        topic, record = call.context
-        if self._pending_writes.get((topic, record.key)) is record:
-            del self._pending_writes[topic, record.key]
+        topic, records = call.context
+        for record in records:
+            if self._pending_writes.get((topic, record.key)) is record:
+                del self._pending_writes[topic, record.key]
+        self.fire(records_written(topic, records), "*")
         self._start_write(now_s())
--- a/src/heatherspur/sidecar/events.py
+++ b/src/heatherspur/sidecar/events.py
@@ -2,7 +2,15 @@
 
 from circuits import Event
 
-__all__ = ["fleet_changed", "keys_changed", "table_changed", "target_heard"]
+__all__ = [
+    "departure_recorded",
+    "fleet_changed",
+    "keys_changed",
+    "members_read",
+    "settings_changed",
+    "table_changed",
+    "target_heard",
+]
 
 
 class table_changed(Event):  # noqa: N801 - circuits names events in lower case
@@ -32,8 +40,21 @@
     """The records of the fleet's members changed."""
 
 
+class departure_recorded(Event):  # noqa: N801
+    """The store holds a departure of the target beside this node.
+
+    :param departure: A :class:`~heatherspur.dispatch.departures.Departure`.
+    """
+
+
+class members_read(Event):  # noqa: N801
+    """The store provided the newest records of all members."""
+
+
 class target_heard(Event):  # noqa: N801
     """A new report of the target beside this node was accepted.
 
     :param report: A :class:`~heatherspur.dispatch.TargetReport`.
+    :param departure: The :class:`~heatherspur.dispatch.departures.Departure` that it
+        announces if it has to be recorded in the store, or ``None``.
     """
--- a/src/heatherspur/sidecar/exit.py
+++ b/src/heatherspur/sidecar/exit.py
@@ -110,7 +110,7 @@
         return self._target_queue.n_waiting
 
     @handler("target_heard", channel="*")
-    def _on_target_heard(self, report: TargetReport):
+    def _on_target_heard(self, report: TargetReport, *_):
         """Apply a report of the target; only a report opens it to requests."""
         if report.target != self._target:
             self._idle_connections.close_all()
--- a/src/heatherspur/sidecar/feed.py
+++ b/src/heatherspur/sidecar/feed.py
@@ -152,8 +152,9 @@
             self._is_fed = is_fed
             logger.info("feed: source changed", extra={"neighbour": is_fed})
         # A node that became the feeder resumes reading before its first heartbeat
-        # announces that it reads the store.
-        self._store.pause(is_fed)
+        # announces that it reads the store. A node that has just started reads the
+        # store first: its neighbours may lack its own newest records.
+        self._store.pause(is_fed and self._store.has_read_topics)
         if is_heartbeat_due:
             self._send_heartbeats(now)
 
--- a/tests/standins/site.py
+++ b/tests/standins/site.py
@@ -80,6 +80,20 @@
     return {**config, **changes}
 
 
+def make_report(host: Host, born: int, sequence: int, state: str = "ready") -> dict:
+    """Build the body of a report of the target beside a node.
+
+    :param host: Its host.
+    :param born: Start of the target, in milliseconds since 1970.
+    :param sequence: Sequence number of the report.
+    :param state: ``"ready"`` or ``"draining"``.
+    """
+    info = {"service": host.service, "version": "v1", "zone": host.zone, "slots": 3}
+    status = {"state": state, "sequence": sequence, "cold": "0ms"}
+    address = f"{host.ip}:{TARGET_PORT}"
+    return {"address": address, "born": born, "info": info, "status": status}
+
+
 class Site:
     """Context manager that owns the processes of one test."""
 
@@ -216,6 +230,22 @@
         url = f"http://{host.ip}:{TARGET_PORT}/standin"
         return self.client.put(url, json=values).json()
 
+    def report(self, host: Host, body: dict, call: str = "heartbeat") -> int:
+        """Send a report of the target of a host; return the status of the answer."""
+        url = f"{host.url('control')}/instances/t-{host.name}/{call}"
+        return self.client.post(url, json=body).status_code
+
+    def restart_node(self, host: Host) -> None:
+        """Kill the node of a host and start it again."""
+        self.signal(host, signal.SIGKILL)
+        self.processes_by_name[host.name].wait()
+        self.start_node(host)
+
+    def newest_keys(self, topic: str) -> set[str]:
+        """Return the keys of a topic of the store."""
+        url = f"http://{self.store}/log-newest?topic={topic}&part=0"
+        return {item["key"] for item in self.client.get(url).json()["items"]}
+
     def store_faults(self, **values) -> None:
         self.client.put(f"http://{self.store}/faults", json=values)
 
