Decode records and reports into checked types

A report with a number too large kept out the target's own reports.

Cause: fields were converted to their types instead of checked, so 7 became the address "7", which failed at the first message to that node, in the middle of the ticks of entry and feed. int() of an infinite number raised OverflowError, which was not caught. Starts and sequence numbers of reports had no upper limit. Ruled out: deep nesting by itself (the decoders of CBOR and JSON refuse it).

Change: records, reports and the names in a configuration are decoded once into checked types: types, ranges, length, addresses with a port. What is not valid is logged and names no target; the others hold.

--- a/src/heatherspur/dispatch/__init__.py
+++ b/src/heatherspur/dispatch/__init__.py
@@ -1,6 +1,9 @@
 """Request scheduling of a node: slots, placement, rate limits and retries."""
 
 from heatherspur.dispatch.types import (
+    MAX_SEQUENCE,
+    MAX_SLOTS,
+    MAX_START_MS,
     Customer,
     FleetSettings,
     Request,
@@ -12,6 +15,9 @@
 )
 
 __all__ = [
+    "MAX_SEQUENCE",
+    "MAX_SLOTS",
+    "MAX_START_MS",
     "Customer",
     "FleetSettings",
     "WeightedService",
--- a/src/heatherspur/dispatch/types.py
+++ b/src/heatherspur/dispatch/types.py
@@ -6,6 +6,9 @@
 from heatherspur.http import Field
 
 __all__ = [
+    "MAX_SEQUENCE",
+    "MAX_SLOTS",
+    "MAX_START_MS",
     "Customer",
     "FleetSettings",
     "WeightedService",
@@ -19,6 +22,12 @@
 # A tag takes three bytes on the wire. Routes or customers whose tags collide share
 # their statistics.
 N_TAGS = 65536
+# Limits on what a target or a record in the store may state about a target. Numbers
+# above them come from another writer, and would never be superseded by true ones.
+MAX_SLOTS = 1024
+MAX_SEQUENCE = 2**53
+# End of the year 9999, in milliseconds since 1970.
+MAX_START_MS = 253_402_300_799_999
 
 
 class WeightedService(NamedTuple):
--- a/src/heatherspur/platform/tests/test_wire.py
+++ b/src/heatherspur/platform/tests/test_wire.py
@@ -50,6 +50,13 @@
         (("status", "sequence"), "4"),
         (("status", "sequence"), MISSING),
         (("status", "cold"), 5),
+        (("status", "cold"), "9" * 400 + "s"),
+        (("status", "sequence"), 2**60),
+        (("born",), 2**62),
+        (("address",), "10.0.0.1:70000"),
+        (("address",), "10.0.0.1:0"),
+        (("address",), [[["10.0.0.1:80"]]]),
+        (("info", "slots"), 10**6),
     ],
 )
 def test_report_with_invalid_field_is_refused(path, value):
@@ -58,7 +65,15 @@
     assert decoded.err_value.peer == "10.0.0.1:5000"
 
 
-@pytest.mark.parametrize("data", [b"{", b"[]", b'"x"', b"\xff", b"null"])
+@pytest.mark.parametrize("name", [b'"born":1700000000000', b'"slots":3'])
+def test_report_with_a_number_of_many_digits_is_refused(name):
+    number = name.partition(b":")[0] + b":1" + b"0" * 400
+    assert _decode(make_report().replace(name, number)).is_err()
+
+
+@pytest.mark.parametrize(
+    "data", [b"{", b"[]", b'"x"', b"\xff", b"null", b'{"born":' + b"[" * 30_000]
+)
 def test_malformed_report_is_refused(data):
     assert _decode(data).is_err()
 
@@ -87,3 +102,21 @@
         assert not _is_idempotent(kind)
     (record,) = caplog.records
     assert (record.route, record.kind) == ("r-1", str(kind))
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"name": 7},
+        {"path_prefix": 7},
+        {"service": ["permits"]},
+        {"traffic_split": [{"service": "permits", "weight": "inf"}]},
+        {"traffic_split": [{"service": "permits", "weight": -1}]},
+        {"attempts": 1e300},
+        {"attempts": "inf"},
+        {"timeout": "9" * 400 + "s"},
+    ],
+)
+def test_configuration_with_a_field_of_another_type_is_refused(changes):
+    """It was taken, and failed at the requests of the route."""
+    assert decode_table(make_configuration(**changes), "keyed.op").is_err()
--- a/src/heatherspur/platform/wire.py
+++ b/src/heatherspur/platform/wire.py
@@ -6,6 +6,7 @@
 """
 
 import logging
+import math
 import re
 from typing import Any, NamedTuple
 
@@ -14,6 +15,9 @@
 
 from heatherspur.core import Address, HeatherspurError, parse_address
 from heatherspur.dispatch import (
+    MAX_SEQUENCE,
+    MAX_SLOTS,
+    MAX_START_MS,
     Customer,
     FleetSettings,
     Route,
@@ -43,10 +47,16 @@
 LEAVE_PATH = re.compile(r"^/instances/([^/]+)/deregister$")
 DURATION = re.compile(r"^(\d+(?:\.\d+)?)(ms|s)$")
 DEFAULT_ATTEMPTS = 1
+MAX_ATTEMPTS = 1000
 DEFAULT_PRIORITY = 3
 DEFAULT_TIMEOUT = "10s"
 DEFAULT_HEARTBEAT = "1500ms"
 DEFAULT_QUOTA_WINDOW = "5s"
+# Longer durations can't be told from errors of their writer.
+MAX_DURATION_S = 366 * 86400.0
+
+# Errors that fields which are missing, of another type or out of range can raise.
+INVALID = (KeyError, TypeError, ValueError, AttributeError, OverflowError)
 
 logger = logging.getLogger("heatherspur.wire")
 
@@ -84,7 +94,10 @@
     if match is None:
         raise ValueError(f"{value!r} is not a duration in ms or s")
     number = float(match.group(1))
-    return number / 1000 if match.group(2) == "ms" else number
+    seconds = number / 1000 if match.group(2) == "ms" else number
+    if not seconds <= MAX_DURATION_S:
+        raise ValueError(f"{value:.40} is longer than {MAX_DURATION_S:.0f} s")
+    return seconds
 
 
 def _parse_bounds(entries: list[str]) -> dict[str, str]:
@@ -123,7 +136,7 @@
                 ),
             )
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except INVALID as error:
         reason = f"{type(error).__name__}: {error}"
         return Err(WireError("decode settings", peer, reason))
 
@@ -138,9 +151,10 @@
     split = fields.get("traffic_split")
     if split:
         return tuple(
-            WeightedService(part["service"], float(part["weight"])) for part in split
+            WeightedService(_non_empty_text(part["service"]), _finite(part["weight"]))
+            for part in split
         )
-    return (WeightedService(fields["service"], 1.0),)
+    return (WeightedService(_non_empty_text(fields["service"]), 1.0),)
 
 
 def _decode_route_kind(fields: dict[str, Any]) -> RouteKind:
@@ -157,14 +171,16 @@
     timeout_s = duration_s(fields.get("timeout") or DEFAULT_TIMEOUT)
     objective = fields.get("target_latency")
     return Route(
-        name=fields["name"],
+        name=_non_empty_text(fields["name"]),
         host=fields["host"].lower(),
-        prefix=fields["path_prefix"],
+        prefix=_non_empty_text(fields["path_prefix"]),
         weighted_services=_decode_weighted_services(fields),
         idempotent=_decode_route_kind(fields).idempotent,
         timeout_s=timeout_s,
         objective_s=duration_s(objective) if objective else timeout_s,
-        max_targets=int(fields.get("attempts") or DEFAULT_ATTEMPTS),
+        max_targets=_integer(
+            int(fields.get("attempts") or DEFAULT_ATTEMPTS), MAX_ATTEMPTS
+        ),
         priority=int(fields.get("priority", DEFAULT_PRIORITY)),
         open=bool(fields.get("public", False)),
     )
@@ -175,10 +191,10 @@
     for tenant in tenants:
         priority = tenant.get("priority")
         customer = Customer(
-            name=tenant["name"],
+            name=_non_empty_text(tenant["name"]),
             priority=int(priority) if priority is not None else None,
-            rate=float(tenant.get("rate_per_s") or 0),
-            burst=float(tenant.get("burst") or 0),
+            rate=_finite(tenant.get("rate_per_s") or 0),
+            burst=_finite(tenant.get("burst") or 0),
         )
         for key in tenant["api_keys"]:
             customers_by_key[key] = customer
@@ -217,25 +233,41 @@
                 idle_timeout_s=duration_s(limits["idle_timeout"]),
             )
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except INVALID as error:
         reason = f"{type(error).__name__}: {error}"
         return Err(WireError("decode configuration", peer, reason))
 
 
 def _optional_address(value: Any) -> Address | None:
-    return parse_address(value) if value else None
+    if not value:
+        return None
+    address = parse_address(value)
+    if not address.port:
+        raise ValueError(f"{value!r:.40} has no port")
+    return address
 
 
-def _integer(value: Any, minimum: int = 0) -> int:
+def _integer(value: Any, maximum: int, minimum: int = 0) -> int:
     """Return the value if it is an integer; strings, floats and booleans are invalid.
 
-    :raises ValueError: If the value is not an integer or is below the minimum.
+    :raises ValueError: If the value is not an integer from the minimum to the maximum.
     """
-    if type(value) is not int or value < minimum:
-        raise ValueError(f"{value!r} is not an integer >= {minimum}")
+    if type(value) is not int or not minimum <= value <= maximum:
+        raise ValueError(f"{value!r:.40} is not an integer {minimum}..{maximum}")
     return value
 
 
+def _finite(value: Any) -> float:
+    """Return a number that is neither negative nor infinite.
+
+    :raises ValueError: If the value is another number or text.
+    """
+    number = float(value)
+    if not 0 <= number < math.inf:
+        raise ValueError(f"{value!r:.40} is not a number >= 0")
+    return number
+
+
 def _non_empty_text(value: Any) -> str:
     if not isinstance(value, str) or not value:
         raise ValueError(f"{value!r} is not a non-empty string")
@@ -262,20 +294,19 @@
         return Ok(
             TargetReport(
                 target=target,
-                started_at_ms=_integer(fields.get("born", 0)),
+                started_at_ms=_integer(fields.get("born", 0), MAX_START_MS),
                 sequence=_integer(
-                    status.get("sequence", 0) if gone else status["sequence"]
+                    status.get("sequence", 0) if gone else status["sequence"],
+                    MAX_SEQUENCE,
                 ),
                 address=_optional_address(fields.get("address")),
-                service=info.get("service", "")
-                if gone
-                else _non_empty_text(info["service"]),
-                slots=0 if gone else _integer(info["slots"], minimum=1),
+                service="" if gone else _non_empty_text(info["service"]),
+                slots=0 if gone else _integer(info["slots"], MAX_SLOTS, minimum=1),
                 ready=not gone and status["state"] == "ready",
                 cold_s=duration_s(status.get("cold") or "0ms"),
                 gone=gone,
             )
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except INVALID as error:
         reason = f"{type(error).__name__}: {error}"
         return Err(WireError("decode target report", peer, reason))
--- a/src/heatherspur/sidecar/tests/builders.py
+++ b/src/heatherspur/sidecar/tests/builders.py
@@ -1,4 +1,6 @@
-"""An exit without sockets, and responses of the target beside it."""
+"""An exit without sockets, responses of its target, and records of other writers."""
+
+import cbor2
 
 from heatherspur.dispatch.nested_calls import NestedCalls
 from heatherspur.dispatch.tests.builders import (
@@ -11,12 +13,41 @@
 from heatherspur.sidecar.exit import SidecarExit
 from heatherspur.sidecar.metrics import SidecarMetrics
 
-__all__ = ["ExitHarness", "make_execute", "make_response"]
+__all__ = ["ODD_MEMBERS", "ExitHarness", "make_execute", "make_response"]
 
 LEFT_MS = 5000
 OUTCOMES = (m.Answer, m.Failed, m.NotRun)
 
 
+def _make_odd_member(position: int, field) -> bytes:
+    fields = ["10.0.0.2:80", "a", "permits", "t2", 1000, 3, True]
+    fields[position] = field
+    return cbor2.dumps(fields)
+
+
+# Values of records that name no member, by what is odd about them.
+ODD_MEMBERS = {
+    "a number as node": _make_odd_member(0, 7),
+    "a name as node": _make_odd_member(0, "host:80"),
+    "a port out of range": _make_odd_member(0, "10.0.0.2:70000"),
+    "port 0": _make_odd_member(0, "10.0.0.2:0"),
+    "a long zone": _make_odd_member(1, "z" * 3000),
+    "no service": _make_odd_member(2, ""),
+    "an infinite start": _make_odd_member(4, float("inf")),
+    "a start that is too large": _make_odd_member(4, 10**30),
+    "a negative start": _make_odd_member(4, -1),
+    "too many slots": _make_odd_member(5, 10**30),
+    "no slots": _make_odd_member(5, 0),
+    "a number as state": _make_odd_member(6, 1),
+    "deeply nested": b"\x81" * 3000 + b"\x00",
+    "nested as deeply as is decoded": _make_odd_member(3, [[[[["t2"]]]]]),
+    "a map": cbor2.dumps({"node": "10.0.0.2:80"}),
+    "one field less": cbor2.dumps(["10.0.0.2:80"]),
+    "no CBOR": b"\xff\xff",
+    "a large value": cbor2.dumps(["x" * 200_000]),
+}
+
+
 class _RecordingLink:
     serial = 1
     node = "10.0.0.2:80"
