sidecar: end a stopping process when its answers are sent

Cause: a request counted as ended when its answer was given to the send buffer of the caller's connection; the buffers ended with the process.

Change: the process ends when no request is open and no connection to a caller or a node has bytes to send; answers have until eleven twelfths of the grace.

--- a/src/heatherspur/net/stream.py
+++ b/src/heatherspur/net/stream.py
@@ -172,6 +172,12 @@
         self._listeners: list[socket.socket] = []
         self._poller: BasePoller | None = None
 
+    @property
+    def n_unsent(self) -> int:
+        """Number of connections with bytes that are not sent yet."""
+        streams = self.streams_by_socket.values()
+        return sum(stream.n_buffered_bytes > 0 for stream in streams)
+
     def on_accepted(self, stream: Stream) -> None:
         """Handle a new connection that a peer opened."""
 
--- a/src/heatherspur/sidecar/app.py
+++ b/src/heatherspur/sidecar/app.py
@@ -29,7 +29,11 @@
     decode_settings,
     decode_table,
 )
-from heatherspur.sidecar.conf import MIN_STOP_S, STOP_GRACE_FRACTION
+from heatherspur.sidecar.conf import (
+    MIN_STOP_S,
+    SEND_GRACE_FRACTION,
+    STOP_GRACE_FRACTION,
+)
 from heatherspur.sidecar.control import ControlServer
 from heatherspur.sidecar.entry import SidecarEntry
 from heatherspur.sidecar.events import (
@@ -375,6 +379,11 @@
     def _n_open_requests(self) -> int:
         return self._caller_server.n_exchanges + self._exit.n_open
 
+    @property
+    def _n_unsent(self) -> int:
+        """Number of connections to callers and nodes with bytes to send."""
+        return self._caller_server.n_unsent + self._hub.n_unsent
+
     @handler("tick", channel="*")
     def _on_tick(self, now):
         is_known = self._table is not None and self._has_members
@@ -383,13 +392,22 @@
         if now >= self._next_settings_check_s:
             self._next_settings_check_s = now + SETTINGS_CHECK_INTERVAL_S
             self._check_settings_file()
-        if self._stopping_since_s is None:
-            return
-        age_s = now - self._stopping_since_s
-        is_idle = self._n_open_requests == 0 and self._store.idle
-        is_over = age_s > self._settings.grace_s * STOP_GRACE_FRACTION
+        if self._stopping_since_s is not None:
+            self._continue_stop(now - self._stopping_since_s)
+
+    def _continue_stop(self, age_s: float) -> None:
+        """End the process when all answers were sent, or before it is killed.
+
+        :param age_s: Time since the stop signal, in seconds.
+        """
+        grace_s = self._settings.grace_s
+        is_done = self._n_open_requests == 0 and self._n_unsent == 0
+        is_idle = is_done and self._store.idle
+        is_over = age_s > grace_s * STOP_GRACE_FRACTION and self._n_unsent == 0
+        is_over = is_over or age_s > grace_s * SEND_GRACE_FRACTION
         if is_over or (is_idle and age_s > MIN_STOP_S):
-            logger.info("node: stopped", extra={"work_in_hand": self._n_open_requests})
+            extra = {"work_in_hand": self._n_open_requests, "unsent": self._n_unsent}
+            logger.info("node: stopped", extra=extra)
             raise SystemExit(0)
 
     def _check_settings_file(self) -> None:
--- a/src/heatherspur/sidecar/conf.py
+++ b/src/heatherspur/sidecar/conf.py
@@ -1,6 +1,11 @@
 """Constants of a node's graceful shutdown, in seconds after the stop signal."""
 
-__all__ = ["MIN_STOP_S", "STOP_ADMITTING_AFTER_S", "STOP_GRACE_FRACTION"]
+__all__ = [
+    "MIN_STOP_S",
+    "SEND_GRACE_FRACTION",
+    "STOP_ADMITTING_AFTER_S",
+    "STOP_GRACE_FRACTION",
+]
 
 # The platform stops routing callers to a node after two failed readiness probes, sent
 # once a second. Until then the node admits requests, and its target also serves the
@@ -9,5 +14,7 @@
 # A request sent for a granted slot just before that time arrives within two one-way
 # delays between zones plus one retransmission, and is answered as not run.
 MIN_STOP_S = STOP_ADMITTING_AFTER_S + 0.3
-# Fraction of the grace period before the kill; the rest lets the answers arrive.
+# Fractions of the grace period before the kill: requests without an answer are cut
+# after the first, answers that are not sent after the second.
 STOP_GRACE_FRACTION = 5 / 6
+SEND_GRACE_FRACTION = 11 / 12
--- a/tests/standins/platform_target.py
+++ b/tests/standins/platform_target.py
@@ -36,6 +36,7 @@
         self.mode = "good"
         self.state = "ready"
         self.service_s = 0.01
+        self.answer_bytes = 0
         self.slots = 3
         self.address = ""
         self.born = int(time.time() * 1000)
@@ -78,6 +79,7 @@
     async def _answer(self, request: Request, echo) -> Response | None:
         signed = [*echo, (b"Heatherspur-Response-Signature", b"1f.2a")]
         body = f"{self.name} ran {request.method} {request.path}\n".encode()
+        body = b"." * (self.answer_bytes - len(body)) + body
         writer, mode = request.writer, self.mode
         head = b"HTTP/1.1 200 OK\r\n" + b"".join(
             n + b": " + v + b"\r\n" for n, v in signed
