sidecar: answer requests that outlast a planned stop

Cause: the process ended at that time whatever was open.

Change: at five sixths of the grace the entry gives every request its final answer: "not run" if no target got it, "outcome unknown" otherwise. The process ends when these are sent.

Measured: test_requests_that_outlast_the_grace_get_a_final_answer failed before (RemoteProtocolError), 502 for each with the change.

--- a/src/heatherspur/dispatch/dispatcher.py
+++ b/src/heatherspur/dispatch/dispatcher.py
@@ -459,9 +459,7 @@
         """
         for pending in list(self._open_by_exchange.values()):
             if now >= pending.request.timeout_at_s:
-                if pending.executing is not None or pending.overdue is not None:
-                    pending.may_have_run = True
-                yield from self._end_unanswered(pending, "timeout", now)
+                yield from self._end(pending, "timeout", now)
             elif pending.grants_by_number:
                 yield from self._use_grant(pending, now)
             elif pending.overdue is not None:
@@ -478,6 +476,23 @@
                 if is_open and now >= self._timing.latest_start_s(pending):
                     yield from self._end_unanswered(pending, "no-room", now)
 
+    def end_all(self, reason: str, now: float) -> Iterator[NamedTuple]:
+        """Give all requests their final answers.
+
+        :param reason: Short name of the reason.
+        :param now: Clock reading in seconds.
+        """
+        for pending in list(self._open_by_exchange.values()):
+            yield from self._end(pending, reason, now)
+
+    def _end(
+        self, pending: PendingRequest, reason: str, now: float
+    ) -> Iterator[NamedTuple]:
+        """End a request that may be running at a target."""
+        if pending.executing is not None or pending.overdue is not None:
+            pending.may_have_run = True
+        yield from self._end_unanswered(pending, reason, now)
+
     def _end_unanswered(
         self, pending: PendingRequest, reason: str, now: float
     ) -> Iterator[NamedTuple]:
--- a/src/heatherspur/sidecar/app.py
+++ b/src/heatherspur/sidecar/app.py
@@ -38,6 +38,7 @@
 from heatherspur.sidecar.entry import SidecarEntry
 from heatherspur.sidecar.events import (
     departure_recorded,
+    end_requests,
     fleet_changed,
     members_read,
     settings_changed,
@@ -95,6 +96,7 @@
         self._file_state = _file_state(path)
         self._next_settings_check_s = now_s() + SETTINGS_CHECK_INTERVAL_S
         self._stopping_since_s: float | None = None
+        self._has_ended_requests = False
         self._is_listening = False
         self._listen_by_s = now_s() + MAX_LISTEN_DELAY_S
         self._table: RoutingTable | None = None
@@ -403,12 +405,13 @@
         grace_s = self._settings.grace_s
         is_done = self._n_open_requests == 0 and self._n_unsent == 0
         is_idle = is_done and self._store.idle
-        is_over = age_s > grace_s * STOP_GRACE_FRACTION and self._n_unsent == 0
-        is_over = is_over or age_s > grace_s * SEND_GRACE_FRACTION
-        if is_over or (is_idle and age_s > MIN_STOP_S):
+        if (is_idle and age_s > MIN_STOP_S) or age_s > grace_s * SEND_GRACE_FRACTION:
             extra = {"work_in_hand": self._n_open_requests, "unsent": self._n_unsent}
             logger.info("node: stopped", extra=extra)
             raise SystemExit(0)
+        if age_s > grace_s * STOP_GRACE_FRACTION and not self._has_ended_requests:
+            self._has_ended_requests = True
+            self.fire(end_requests(), "entry")
 
     def _check_settings_file(self) -> None:
         """Reload the settings file if it changed without a signal."""
--- a/src/heatherspur/sidecar/conf.py
+++ b/src/heatherspur/sidecar/conf.py
@@ -14,7 +14,7 @@
 # A request sent for a granted slot just before that time arrives within two one-way
 # delays between zones plus one retransmission, and is answered as not run.
 MIN_STOP_S = STOP_ADMITTING_AFTER_S + 0.3
-# Fractions of the grace period before the kill: requests without an answer are cut
-# after the first, answers that are not sent after the second.
+# Fractions of the grace period before the kill: requests without an answer get a final
+# one after the first; answers that are not sent by the second are cut.
 STOP_GRACE_FRACTION = 5 / 6
 SEND_GRACE_FRACTION = 11 / 12
--- a/src/heatherspur/sidecar/entry.py
+++ b/src/heatherspur/sidecar/entry.py
@@ -325,6 +325,21 @@
         self._stop_admitting_at_s = now_s() + STOP_ADMITTING_AFTER_S
         self._dispatcher.stop_waiting(self._stop_admitting_at_s)
 
+    @handler("end_requests")
+    def _on_end_requests(self):
+        """Answer every request: as not run, or as of unknown outcome."""
+        refusal = Refusal(503, "stopping", DEFAULT_RETRY_AFTER_S)
+        for exchange, incoming in list(self._incoming_by_exchange.items()):
+            del self._incoming_by_exchange[exchange]
+            self._refuse(exchange, incoming, refusal)
+        for exchange, request in list(self._pending_by_exchange.items()):
+            del self._pending_by_exchange[exchange]
+            self._log(Decision(request, "not run", "stopping", "", {}))
+            body = b"not run: stopping\n"
+            final = FinalAnswer(exchange, 503, (), body, DEFAULT_RETRY_AFTER_S, True)
+            self._answer(final)
+        self._perform(self._dispatcher.end_all("stopping", now_s()))
+
     @handler("caller_gone")
     def _on_caller_gone(self, exchange):
         self._incoming_by_exchange.pop(exchange, None)
--- a/src/heatherspur/sidecar/events.py
+++ b/src/heatherspur/sidecar/events.py
@@ -4,6 +4,7 @@
 
 __all__ = [
     "departure_recorded",
+    "end_requests",
     "fleet_changed",
     "keys_changed",
     "members_read",
@@ -47,6 +48,10 @@
     """
 
 
+class end_requests(Event):  # noqa: N801
+    """Give every request its final answer, since the process is about to end."""
+
+
 class members_read(Event):  # noqa: N801
     """The store provided the newest records of all members."""
 
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -3,6 +3,7 @@
 Real nodes, store and targets. Callers use open connections until the process is gone.
 """
 
+import concurrent.futures
 import json
 import signal
 import socket
@@ -32,6 +33,26 @@
     return [{**route, "timeout": "15s", "target_latency": "10s"} for route in routes]
 
 
+def test_requests_that_outlast_the_grace_get_a_final_answer(site):
+    """Their connections were closed without one."""
+    host = site.hosts[0]
+    for other in site.hosts:
+        site.control(other, mode="hang")
+    fields = {"Heatherspur-Deadline-Ms": "14000"}
+    with concurrent.futures.ThreadPoolExecutor(6) as pool:
+        asked = [
+            pool.submit(site.ask, host, f"/once/{i}", "POST", fields=fields, timeout=9)
+            for i in range(3)
+        ]
+        wait_until(lambda: sum(site.control(h)["most_running"] for h in site.hosts) > 2)
+        site.signal(host, signal.SIGTERM)
+        started_at_s = time.monotonic()
+        statuses = [answer.result().status_code for answer in asked]
+    assert statuses == [502] * 3
+    assert time.monotonic() - started_at_s < GRACE_S
+    assert site.processes_by_name[host.name].wait(timeout=GRACE_S) == 0
+
+
 def _read_slowly(sock: socket.socket) -> bytes:
     data, start_s = b"", time.monotonic()
     while True:
