node: keep new connections open while a node stops

What callers saw: from 2 s after the stop signal on, a new connection was closed within 50 ms, and a first request that crossed this close got no answer.

Cause: connections count as idle from the moment on at which they are accepted, and all idle ones are closed from then on.

Change: they are closed when they have been idle for 0.3 s. Reported by other operators: requests late in the grace that were passed on and cut at its end. This can't happen here: a node admits requests for 2.5 s, and its target gets none that come later; test_requests_late_in_the_grace_are_answered checks it with callers that use open connections until the process is gone, at three run times.

Measured: that test failed before for run times of 0.05 s (a request sent 2.65 s after the signal and 0.22 s before the end had no answer, and had not run).

--- a/src/heatherspur/node/callers.py
+++ b/src/heatherspur/node/callers.py
@@ -30,8 +30,10 @@
 __all__ = ["CallerServer"]
 
 CREDIT_STEP_BYTES = 65536
-# Idle connections are closed this long after the stop signal.
+# From this time after the stop signal, connections are closed that have been idle for
+# longer than the first request of a new connection may be under way.
 STOP_GRACE_S = 2.0
+STOP_IDLE_TIMEOUT_S = 0.3
 BODYLESS_STATUSES = (204, 304)
 
 logger = logging.getLogger("heatherspur.callers")
@@ -294,5 +296,6 @@
             return
         stopping_s = self._stopping_since_s
         is_over = stopping_s is not None and now - stopping_s > STOP_GRACE_S
-        if is_over or now - context.active_at_s > self._settings.idle_timeout_s:
+        timeout_s = STOP_IDLE_TIMEOUT_S if is_over else self._settings.idle_timeout_s
+        if now - context.active_at_s > timeout_s:
             context.stream.close()
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -9,12 +9,17 @@
 import socket
 import time
 
+import httpx
 import pytest
 
 from tests.standins.site import KEY, PORTS, Site, make_config, wait_until
 
 HOSTS = (("a", "permits"), ("a", "permits"))
 GRACE_S = 6.0
+# Requests sent later than this after the signal have to be answered in any case.
+LATEST_SENT_S = 3.0
+# A request whose last byte arrived earlier than this before the end is answered.
+LOSS_SLACK_S = 0.2
 LARGE_ANSWER_BYTES = 8_000_000
 READ_BYTES_PER_S = 1_000_000
 READ_STEP_S = 0.02
@@ -33,6 +38,66 @@
     return [{**route, "timeout": "15s", "target_latency": "10s"} for route in routes]
 
 
+def _ask_until_gone(site, process, number: int) -> list[tuple[float, str, int | None]]:
+    """Send requests over one kept connection after the other until the process ends.
+
+    :returns: Time sent, id and status of each request; ``None`` for no whole answer.
+    """
+    host, results = site.hosts[0], []
+    with httpx.Client(timeout=15) as client:
+        i = 0
+        while process.poll() is None:
+            i += 1
+            request_id = f"e{number:03x}{i:012x}"
+            kind, method = (("read", "GET"), ("once", "POST"))[i % 2]
+            fields = {
+                "Host": "a.example",
+                "Heatherspur-Attempt-Id": request_id,
+                "Heatherspur-Deadline-Ms": "10000",
+                "Authorization": f"Bearer {KEY}",
+            }
+            sent_at_s, status = time.monotonic(), None
+            try:
+                url = host.url("outbound") + f"/{kind}/{i}"
+                status = client.request(method, url, headers=fields).status_code
+            except httpx.ConnectError:
+                continue
+            except httpx.HTTPError:
+                pass
+            results.append((sent_at_s, request_id, status))
+            time.sleep(0.02)
+    return results
+
+
+@pytest.mark.parametrize("service_s", [0.05, 0.6, 1.8])
+def test_requests_late_in_the_grace_are_answered(site, service_s):
+    """Requests taken late in the grace were cut at its end, without an answer."""
+    for other in site.hosts:
+        site.control(other, service_s=service_s)
+    process = site.processes_by_name[site.hosts[0].name]
+    with concurrent.futures.ThreadPoolExecutor(5) as pool:
+        callers = [pool.submit(_ask_until_gone, site, process, i) for i in range(5)]
+        time.sleep(0.5)
+        stopped_at_s = time.monotonic()
+        site.signal(site.hosts[0], signal.SIGTERM)
+        assert process.wait(timeout=GRACE_S) == 0
+        ended_at_s = time.monotonic()
+        results = [result for caller in callers for result in caller.result()]
+    runs = site.runs_by_id()
+    assert any(sent_at_s > stopped_at_s for sent_at_s, _, _ in results)
+    for sent_at_s, request_id, status in results:
+        case = (sent_at_s - stopped_at_s, request_id, status, runs.get(request_id))
+        if status is None:
+            assert not runs.get(request_id), case
+            assert sent_at_s > ended_at_s - LOSS_SLACK_S, case
+        elif status == 503:
+            assert not runs.get(request_id), case
+        else:
+            assert status == 200, case
+        if sent_at_s > stopped_at_s + LATEST_SENT_S:
+            assert not runs.get(request_id), case
+
+
 def test_requests_that_outlast_the_grace_get_a_final_answer(site):
     """Their connections were closed without one."""
     host = site.hosts[0]
