--- a/src/heatherspur/ops/__init__.py
+++ b/src/heatherspur/ops/__init__.py
@@ -1,6 +1,10 @@
 """Observability of a node: structured logs, metrics and the operations listener."""
 
-from heatherspur.ops.logs import configure_logs, write_deferred_logs
+from heatherspur.ops.logs import (
+    configure_logs,
+    count_dropped_lines,
+    write_deferred_logs,
+)
 from heatherspur.ops.loop import NodeLoop
 from heatherspur.ops.metrics import NodeMetrics
 from heatherspur.ops.web import OpsServer
@@ -10,5 +14,6 @@
     "NodeMetrics",
     "OpsServer",
     "configure_logs",
+    "count_dropped_lines",
     "write_deferred_logs",
 ]
--- a/src/heatherspur/sidecar/app.py
+++ b/src/heatherspur/sidecar/app.py
@@ -21,7 +21,7 @@
 from heatherspur.net import Ticker, is_refused
 from heatherspur.node import events as node_events
 from heatherspur.node.callers import CallerServer
-from heatherspur.ops import NodeLoop
+from heatherspur.ops import NodeLoop, count_dropped_lines
 from heatherspur.platform import KeyedHub, KeyedRecord, put_records
 from heatherspur.platform.wire import (
     CONFIG_KEY,
@@ -434,7 +434,7 @@
             "store_reachable": int(self._store.reachable),
             "link_bytes_sent": self._hub.n_sent_bytes,
         }
-        return self._metrics.render(counts)
+        return self._metrics.render(counts, count_dropped_lines())
 
 
 def _file_state(path: Path) -> tuple[int, int] | None:
--- a/src/heatherspur/sidecar/metrics.py
+++ b/src/heatherspur/sidecar/metrics.py
@@ -1,6 +1,7 @@
 """Counters and latency histograms of a node on the users' platform."""
 
 from collections import Counter
+from collections.abc import Mapping
 
 from aioprometheus import Counter as CounterMetric
 from aioprometheus import Gauge, Histogram, Registry, render
@@ -38,6 +39,11 @@
             "Counts of this node, by kind.",
             registry=self._registry,
         )
+        self._dropped_lines = Gauge(
+            "heatherspur_log_lines_dropped",
+            "Log lines dropped since the start because nobody read them, by message.",
+            registry=self._registry,
+        )
 
     def count(self, outcome: str, reason: str) -> None:
         """Count one event.
@@ -59,15 +65,20 @@
         if len(self._pending_seconds) >= MAX_PENDING_SAMPLES:
             self._export_pending()
 
-    def render(self, counts: dict[str, float]) -> tuple[bytes, str]:
+    def render(
+        self, counts: dict[str, float], n_dropped_by_message: Mapping[str, int]
+    ) -> tuple[bytes, str]:
         """Render all metrics.
 
         :param counts: Current state of the node, by kind.
+        :param n_dropped_by_message: Number of dropped log lines by their message.
         :returns: The metrics as text, and their content type.
         """
         self._export_pending()
         for kind, value in counts.items():
             self._gauges.set({"kind": kind}, value)
+        for message, number in n_dropped_by_message.items():
+            self._dropped_lines.set({"message": message}, number)
         body, fields = render(self._registry, [])
         return body, fields["Content-Type"]
 
