dispatch: end the move of an overdue request whose grant had expired

From the moment on, each tick of the entry ended at this request until its timeout, and the requests after it were answered late.

Cause: a message is held up until the request is taken for overdue; then the exit declines the grant under which the request was sent, not that of the move. The entry looked for a slot elsewhere and then for the number of the declined one (KeyError in _end_move_without_slots).

Change: the decline of the overdue request's own grant ends the move, and the request, which has not run, is dispatched again. A model of an entry and its exits searches orders of late and lost messages, frozen and restarted exits and callers that give up: at most one run, true refusals, one answer by the timeout.

--- a/src/heatherspur/dispatch/dispatcher.py
+++ b/src/heatherspur/dispatch/dispatcher.py
@@ -186,6 +186,11 @@
             # The grant expired before the request arrived, so it will not run.
             pending.resume_at_s = None
             yield from self._handle_not_run(pending, node, "grant-expired", False, now)
+        elif pending.overdue == message.number:
+            # The same for a request that has been taken for overdue since.
+            pending.resume_at_s = None
+            yield from self._end_move(pending)
+            yield from self._handle_not_run(pending, node, "grant-expired", False, now)
         elif pending.overdue is not None:
             yield from self._end_move_without_slots(pending, now)
         elif pending.executing is None:
--- a/src/heatherspur/dispatch/tests/test_overdue.py
+++ b/src/heatherspur/dispatch/tests/test_overdue.py
@@ -69,6 +69,22 @@
     assert dispatcher.n_pending == 0
 
 
+def test_decline_of_the_overdue_request_itself_ends_its_move():
+    """Its grant had expired; the tick of the entry failed at it until its timeout."""
+    dispatcher, first, second = _overdue()
+    decline = m.Decline(first.message.number, "grant-expired")
+    messages = list(dispatcher.receive(decline, first.node, OVERDUE_S))
+    assert second.message.number in [
+        x.message.number for x in _sent(messages, m.Withdraw)
+    ]
+    assert _sent(messages, m.Reserve)
+    messages = list(dispatcher.tick(OVERDUE_S + 0.1))
+    messages += dispatcher.tick(10.0)
+    (final,) = [x for x in messages if isinstance(x, FinalAnswer)]
+    assert final.status == 503
+    assert dispatcher.n_pending == 0
+
+
 @pytest.mark.parametrize(
     "reply", [lambda n: m.Queued(n, 100, 300), lambda n: m.Decline(n, "no-room"), None]
 )
