dispatch, sidecar: confine an error to its request

Cause: an error in the step of one request ended the tick of the entry, so that the requests after it got neither their timeout nor their next reservations; an error while one message was handled ended the handling of the others.

Change: the request at which the step failed gets its final answer, "not run" or "outcome unknown", and a log line with the traceback; the others go on. Errors while messages are sent or answers written are logged one by one.

Measured: test_error_at_one_request_does_not_delay_the_others failed before.

--- a/src/heatherspur/dispatch/dispatcher.py
+++ b/src/heatherspur/dispatch/dispatcher.py
@@ -8,6 +8,7 @@
 
 import itertools
 import random
+import traceback
 from collections.abc import Callable, Iterator
 from functools import singledispatchmethod
 from typing import NamedTuple
@@ -463,23 +464,32 @@
         :param now: Clock reading in seconds.
         """
         for pending in list(self._open_by_exchange.values()):
-            if now >= pending.request.timeout_at_s:
-                yield from self._end(pending, "timeout", now)
-            elif pending.grants_by_number:
-                yield from self._use_grant(pending, now)
-            elif pending.overdue is not None:
-                yield from self._end_move_without_slots(pending, now)
-            elif self._timing.is_overdue(pending, now):
-                yield from self._start_move(pending, now)
-            elif pending.resume_at_s is not None:
-                yield from self._resume(pending, now)
-            elif pending.executing is None and now >= self._stop_waiting_at_s:
-                yield from self._end_unanswered(pending, "stopping", now)
-            elif pending.executing is None and now >= pending.next_round_at_s:
-                yield from self._reserve(pending, now)
-                is_open = pending.request.exchange in self._open_by_exchange
-                if is_open and now >= self._timing.latest_start_s(pending):
-                    yield from self._end_unanswered(pending, "no-room", now)
+            try:
+                yield from self._continue(pending, now)
+            except Exception:  # an error at one request must not delay the others
+                inputs = {"traceback": traceback.format_exc()}
+                yield Decision(pending.request, "internal error", "", "", inputs)
+                yield from self._end(pending, "internal-error", now)
+
+    def _continue(self, pending: PendingRequest, now: float) -> Iterator[NamedTuple]:
+        """Take the step of a request that is due."""
+        if now >= pending.request.timeout_at_s:
+            yield from self._end(pending, "timeout", now)
+        elif pending.grants_by_number:
+            yield from self._use_grant(pending, now)
+        elif pending.overdue is not None:
+            yield from self._end_move_without_slots(pending, now)
+        elif self._timing.is_overdue(pending, now):
+            yield from self._start_move(pending, now)
+        elif pending.resume_at_s is not None:
+            yield from self._resume(pending, now)
+        elif pending.executing is None and now >= self._stop_waiting_at_s:
+            yield from self._end_unanswered(pending, "stopping", now)
+        elif pending.executing is None and now >= pending.next_round_at_s:
+            yield from self._reserve(pending, now)
+            is_open = pending.request.exchange in self._open_by_exchange
+            if is_open and now >= self._timing.latest_start_s(pending):
+                yield from self._end_unanswered(pending, "no-room", now)
 
     def end_all(self, reason: str, now: float) -> Iterator[NamedTuple]:
         """Give all requests their final answers.
--- a/src/heatherspur/dispatch/tests/test_dispatcher.py
+++ b/src/heatherspur/dispatch/tests/test_dispatcher.py
@@ -276,3 +276,26 @@
     assert not _sent(messages, m.Resume)
     (retried,) = {reserved.node for reserved in _sent(messages, m.Reserve)}
     assert retried != node
+
+
+def test_error_at_one_request_does_not_delay_the_others(monkeypatch):
+    """The tick ended at it, so that no request after it got its final answer."""
+    dispatcher = make_dispatcher(make_member(2))
+    for exchange in (1, 2):
+        list(dispatcher.open(make_request(exchange), 0.0))
+    latest_start_s = dispatcher._timing.latest_start_s
+
+    def fail_at_first(pending):
+        if pending.request.exchange == 1:
+            raise ValueError("any")
+        return latest_start_s(pending)
+
+    monkeypatch.setattr(dispatcher._timing, "latest_start_s", fail_at_first)
+    finals = [
+        x
+        for now in (0.5, 10.0)
+        for x in dispatcher.tick(now)
+        if isinstance(x, FinalAnswer)
+    ]
+    assert [(x.exchange, x.status) for x in finals] == [(1, 503), (2, 503)]
+    assert dispatcher.n_pending == 0
--- a/src/heatherspur/sidecar/entry.py
+++ b/src/heatherspur/sidecar/entry.py
@@ -260,18 +260,32 @@
         )
 
     def _perform(self, messages: Iterable[NamedTuple]) -> None:
-        """Perform the actions returned by the dispatcher or the quota client."""
-        for message in messages:
-            if isinstance(message, SendTo):
-                self._links.send(message.node, message.message)
-            elif isinstance(message, FinalAnswer):
-                self._answer(message)
-            elif isinstance(message, Decision):
-                self._log(message)
-            elif isinstance(message, Admitted):
-                self._admit(message.exchange)
-            elif isinstance(message, OverLimit):
-                self._reject_over_limit(message)
+        """Perform the actions returned by the dispatcher or the quota client.
+
+        An error at one of them is logged and doesn't prevent the others.
+        """
+        remaining = iter(messages)
+        while True:
+            try:
+                message = next(remaining, None)
+                if message is None:
+                    return
+                self._perform_one(message)
+            except Exception as error:
+                extra = {"reason": f"{type(error).__name__}: {error}"}
+                logger.exception("entry: internal error", extra=extra)
+
+    def _perform_one(self, message: NamedTuple) -> None:
+        if isinstance(message, SendTo):
+            self._links.send(message.node, message.message)
+        elif isinstance(message, FinalAnswer):
+            self._answer(message)
+        elif isinstance(message, Decision):
+            self._log(message)
+        elif isinstance(message, Admitted):
+            self._admit(message.exchange)
+        elif isinstance(message, OverLimit):
+            self._reject_over_limit(message)
 
     def _admit(self, exchange: int) -> None:
         request = self._pending_by_exchange.pop(exchange, None)
