control: acknowledge only reports that are followed

Cause: reports of an earlier start are taken for delayed ones and ignored, but were answered with 200, the departure among them.

Change: they get 503. Three reports in order at their usual interval, while the followed start is silent, show a running target, which is followed from then on. A heartbeat without address, zone or version gets 400.

The variant itself was not played with real processes.

--- a/src/heatherspur/dispatch/departures.py
+++ b/src/heatherspur/dispatch/departures.py
@@ -8,16 +8,11 @@
 
 from typing import NamedTuple
 
+from heatherspur.dispatch.reports import SustainedStart
 from heatherspur.dispatch.types import TargetReport
 
 __all__ = ["Departure", "DepartureTracker", "StartupGate"]
 
-# Reports of a running target that a process receives before it relies on them without
-# the record in the store. Delayed reports mostly arrive together, so they also have to
-# extend over most of the intervals between them.
-MIN_SUSTAINED_REPORTS = 3
-MIN_SUSTAINED_GAPS = 1.5
-
 
 class Departure(NamedTuple):
     """Announcement of a target that it leaves.
@@ -122,11 +117,8 @@
     """
 
     def __init__(self, report_gap_s: float) -> None:
-        self._report_gap_s = report_gap_s
         self.is_open = False
-        self._held: TargetReport | None = None
-        self._n_reports = 0
-        self._first_at_s = 0.0
+        self._held = SustainedStart(report_gap_s)
 
     def admit(self, report: TargetReport, now: float) -> bool:
         """Return whether a report takes effect now; otherwise keep it if it is newer.
@@ -134,24 +126,9 @@
         :param report: A report of a target that accepts requests.
         :param now: Clock reading in seconds.
         """
-        if self.is_open:
-            return True
-        held = self._held
-        if held is None or _start_of(held) < _start_of(report):
-            self._held, self._n_reports, self._first_at_s = report, 1, now
-            return False
-        if _start_of(held) != _start_of(report) or report.sequence <= held.sequence:
-            return False
-        self._held = report
-        self._n_reports += 1
-        duration_s = now - self._first_at_s
-        is_sustained = (
-            self._n_reports >= MIN_SUSTAINED_REPORTS
-            and duration_s >= MIN_SUSTAINED_GAPS * self._report_gap_s
-        )
-        if is_sustained:
+        if not self.is_open and self._held.record(report, now):
             self.open()
-        return is_sustained
+        return self.is_open
 
     def open(self) -> TargetReport | None:
         """Let reports take effect and return the newest one that was held back.
@@ -159,9 +136,6 @@
         :returns: The report, ``None`` if there is none that has not taken effect.
         """
         self.is_open = True
-        held, self._held = self._held, None
-        return held
-
-
-def _start_of(report: TargetReport) -> tuple[int, str]:
-    return report.started_at_ms, report.target
+        report = self._held.newest
+        self._held.reset()
+        return report
--- a/src/heatherspur/platform/wire.py
+++ b/src/heatherspur/platform/wire.py
@@ -274,6 +274,18 @@
     return value
 
 
+def _check_heartbeat(fields: dict, info: dict, status: dict) -> None:
+    """Check the fields of a heartbeat that are required but not used.
+
+    :raises KeyError: If a field is missing.
+    :raises ValueError: If a field is invalid.
+    """
+    if status["state"] not in ("ready", "draining"):
+        raise ValueError(f"state {status['state']!r:.40} is not ready or draining")
+    for value in (fields["address"], info["zone"], info["version"]):
+        _non_empty_text(value)
+
+
 def decode_target_report(
     target: str, data: bytes, gone: bool, peer: str
 ) -> Result[TargetReport, WireError]:
@@ -289,8 +301,8 @@
         if not isinstance(fields, dict):
             raise ValueError("body is not a JSON object")
         info, status = fields.get("info") or {}, fields.get("status") or {}
-        if not gone and status["state"] not in ("ready", "draining"):
-            raise ValueError(f"state {status['state']!r} is not ready or draining")
+        if not gone:
+            _check_heartbeat(fields, info, status)
         return Ok(
             TargetReport(
                 target=target,
--- a/src/heatherspur/sidecar/control.py
+++ b/src/heatherspur/sidecar/control.py
@@ -96,7 +96,7 @@
         self._service = service
         self._is_ready = is_ready
         self._metrics = metrics
-        self._reports = TargetReports()
+        self._reports = TargetReports(report_gap_s)
         self._startup_gate = StartupGate(report_gap_s)
         self._departures = DepartureTracker()
         self._unacknowledged: list[_Unacknowledged] = []
@@ -190,8 +190,8 @@
         :param gone: Whether the target leaves.
         :param stream: Connection of the sender.
         :returns: Status 200 also for a report that is out of date; 400 for one that is
-            invalid or of another service; ``None`` for a departure that the store has
-            to confirm first.
+            invalid or of another service; 503 for one of a start of the target that is
+            not followed; ``None`` for a departure that the store has to confirm first.
         """
         peer = str(stream.peer)
         decoded = decode_target_report(target, body, gone, peer)
@@ -207,8 +207,9 @@
             logger.warning("control: report of another service rejected", extra=extra)
             return Response(400, JSON_TYPE, b"{}")
         now = now_s()
-        if not report.ready or self._startup_gate.admit(report, now):
-            self._take_report(report)
+        is_due = not report.ready or self._startup_gate.admit(report, now)
+        if is_due and not self._take_report(report):
+            return Response(503, JSON_TYPE, b"{}")
         departures = self._departures
         if report.ready or departures.current is None or departures.is_recorded:
             return Response(200, JSON_TYPE, b"{}")
@@ -216,18 +217,24 @@
         self._unacknowledged.append(waiting)
         return None
 
-    def _take_report(self, report: TargetReport) -> None:
-        """Apply a report, unless it is out of date."""
-        last = self._reports.latest
-        if self._reports.accept(report):
-            self._apply_report(self._reports.latest, last)
-            return
+    def _take_report(self, report: TargetReport) -> bool:
+        """Apply a report, unless it is out of date.
+
+        :returns: Whether it was applied, or is known to be older than one that was.
+        """
+        reports, last = self._reports, self._reports.latest
+        is_accepted = reports.accept(report)
+        is_of_other_start = not is_accepted and reports.is_of_other_start(report)
+        if is_accepted or (is_of_other_start and reports.follow(report, now_s())):
+            self._apply_report(reports.latest, last)
+            return True
         extra = {
             "target": report.target,
             "sequence": report.sequence,
             "born": report.started_at_ms,
         }
         logger.info("control: out-of-date report ignored", extra=extra)
+        return not is_of_other_start
 
     def _apply_report(self, report: TargetReport, last: TargetReport | None) -> None:
         if last is None or (last.target, last.started_at_ms, last.ready, last.gone) != (
