sidecar: bound the memory for request bodies

Cause: each body of up to 16 MiB was kept whole, with no bound over all callers, and up to five times on its way. The node was killed over its 300 MB.

Change: bodies are counted against a part of the memory setting of the platform. Large ones beyond it are refused with 503 before anything ran; small ones have a part of their own. The rest of a refused body is read and discarded, so that the caller gets the answer instead of a reset.

Not changed: bodies still travel whole; the memory for requests that arrive from other nodes is bounded by the slots of the target alone.

--- a/benchmarks/emulator/world.py
+++ b/benchmarks/emulator/world.py
@@ -37,6 +37,7 @@
 # Time after the last arrival in which open requests end; exceeds the route timeouts.
 DRAIN_S = 8.0
 RETRY_RATIO, RETRY_WINDOW_S, RETRY_SLACK = 0.2, 10.0, 64.0
+MEMORY_BYTES = 300_000_000
 QUOTA_WINDOW_S = 5.0
 MAX_TARGETS = 2
 STATUS_OK = 200
@@ -107,6 +108,7 @@
                         service.name,
                         StoreSettings(placeholder),
                         1.5,
+                        MEMORY_BYTES,
                         6.0,
                         RETRY_RATIO,
                         RETRY_WINDOW_S,
--- a/src/heatherspur/dispatch/tests/builders.py
+++ b/src/heatherspur/dispatch/tests/builders.py
@@ -73,6 +73,7 @@
         service="permits",
         store=StoreSettings(anywhere),
         report_gap_s=1.5,
+        memory_bytes=300_000_000,
         grace_s=6.0,
         retry_ratio=0.2,
         retry_window_s=10.0,
--- a/src/heatherspur/dispatch/types.py
+++ b/src/heatherspur/dispatch/types.py
@@ -168,6 +168,7 @@
     :param service: Service of the local target.
     :param store: Settings of the platform's store.
     :param report_gap_s: Interval between reports of the target, in seconds.
+    :param memory_bytes: Memory that the process may use, in bytes.
     :param grace_s: Grace period between the stop signal and the kill, in seconds.
     :param retry_ratio: Allowed retries of a service, relative to its requests.
     :param retry_window_s: Window over which retries are counted, in seconds.
@@ -185,6 +186,7 @@
     service: str
     store: StoreSettings
     report_gap_s: float
+    memory_bytes: int
     grace_s: float
     retry_ratio: float
     retry_window_s: float
--- a/src/heatherspur/http/caller.py
+++ b/src/heatherspur/http/caller.py
@@ -54,6 +54,12 @@
         """Whether the request head is still incomplete."""
         return not self._is_head_complete
 
+    @property
+    def is_body_pending(self) -> bool:
+        """Whether the response is complete, but the body of the request is not."""
+        done = self._connection.our_state is h11.DONE
+        return done and self._connection.their_state is h11.SEND_BODY
+
     @property
     def reusable(self) -> bool:
         """Whether the connection can be reused for another request."""
--- a/src/heatherspur/node/callers.py
+++ b/src/heatherspur/node/callers.py
@@ -35,6 +35,9 @@
 STOP_GRACE_S = 2.0
 STOP_IDLE_TIMEOUT_S = 0.3
 BODYLESS_STATUSES = (204, 304)
+# Rest of a body that is read after its request was refused. Closing the connection
+# instead would reset it, and the caller could lose the answer.
+MAX_DISCARDED_BYTES = 64 * 1024 * 1024
 
 logger = logging.getLogger("heatherspur.callers")
 
@@ -49,6 +52,8 @@
     :ivar head_since_s: Clock reading at which the wait for the current request head
         began, or ``None``.
     :ivar omits_body: Whether the answer is sent without its body.
+    :ivar n_discardable_bytes: Number of bytes that may follow of the body of a request
+        that was answered; 0 if there is none.
     :ivar n_uncredited_bytes: Bytes of the answer that were sent but not yet credited
         to the exit.
     """
@@ -63,6 +68,7 @@
         self.head_since_s: float | None = now
         self.is_responding = False
         self.omits_body = False
+        self.n_discardable_bytes = 0
         self.n_uncredited_bytes = 0
         self._outgoing: list[bytes] = []
 
@@ -137,6 +143,9 @@
             self._on_event(context, event)
             if context.stream.closed:
                 return
+        if context.n_discardable_bytes and context.protocol.reusable:
+            context.n_discardable_bytes = 0
+            self._process_events(context, context.protocol.next_request())
 
     def _on_event(self, context: CallerContext, event: HttpEvent) -> None:
         if isinstance(event, RequestHead):
@@ -145,12 +154,20 @@
             if context.exchange is not None:
                 message = events.caller_body(context.exchange, event.data)
                 self.fire(message, "entry")
+            else:
+                self._discard(context, len(event.data))
         elif isinstance(event, MessageEnd):
             if context.exchange is not None and context.has_body:
                 self.fire(events.caller_end(context.exchange), "entry")
         elif isinstance(event, Fault):
             self._on_fault(context, event)
 
+    def _discard(self, context: CallerContext, n_bytes: int) -> None:
+        """Count bytes of a refused request; close the connection if they go on."""
+        context.n_discardable_bytes -= n_bytes
+        if context.n_discardable_bytes <= 0:
+            context.stream.close()
+
     def _on_head(self, context: CallerContext, head: RequestHead) -> None:
         context.exchange = next(self._exchange_ids)
         context.method = head.method
@@ -243,6 +260,10 @@
         self._contexts_by_exchange.pop(context.exchange, None)
         context.exchange = None
         context.active_at_s = now_s()
+        if context.protocol.is_body_pending:
+            context.n_discardable_bytes = MAX_DISCARDED_BYTES
+            context.stream.resume()
+            return
         if not context.protocol.reusable or self._stopping_since_s is not None:
             context.stream.close()
             return
--- a/src/heatherspur/ops/explain.py
+++ b/src/heatherspur/ops/explain.py
@@ -18,6 +18,8 @@
     "no-route": "no route matched its host and path",
     "key-not-in-force": "its key was not in force",
     "stopping": "the node was about to end",
+    "no-memory": "the bodies of requests in progress filled the memory for them",
+    "internal-error": "an error in the node, whose log line has the traceback",
     "deadline": "its time was over before it could be sent",
     "futile": "requests of its route run into their timeout at present",
     "repeat-budget": "the repeats allowed for its service were used up",
--- a/src/heatherspur/platform/wire.py
+++ b/src/heatherspur/platform/wire.py
@@ -52,6 +52,8 @@
 DEFAULT_TIMEOUT = "10s"
 DEFAULT_HEARTBEAT = "1500ms"
 DEFAULT_QUOTA_WINDOW = "5s"
+DEFAULT_MEMORY_MB = 300
+BYTES_PER_MB = 1_000_000
 # Longer durations can't be told from errors of their writer.
 MAX_DURATION_S = 366 * 86400.0
 
@@ -104,6 +106,13 @@
     return dict(text.split("=", 1) for text in entries)
 
 
+def _decode_memory(fields: dict[str, Any]) -> int:
+    """Return the memory limit of the process, in bytes."""
+    limits = fields.get("limits") or {}
+    memory_mb = limits.get("memory_mb") or DEFAULT_MEMORY_MB
+    return int(_finite(memory_mb) * BYTES_PER_MB)
+
+
 def decode_settings(data: bytes, peer: str) -> Result[FleetSettings, WireError]:
     """Decode the settings file.
 
@@ -127,6 +136,7 @@
                 service=fields["service"],
                 store=StoreSettings(parse_address(fields["provider"]["address"])),
                 report_gap_s=duration_s(fields.get("heartbeat") or DEFAULT_HEARTBEAT),
+                memory_bytes=_decode_memory(fields),
                 grace_s=duration_s(bounds["grace"]),
                 retry_ratio=float(bounds["retry_budget_ratio"]),
                 retry_window_s=duration_s(bounds["budget_window"]),
--- a/src/heatherspur/sidecar/app.py
+++ b/src/heatherspur/sidecar/app.py
@@ -427,6 +427,7 @@
             "exchanges_entry": self._caller_server.n_exchanges,
             "exchanges_exit": self._exit.n_open,
             "reservations_waiting": self._exit.n_waiting,
+            "body_bytes": self._entry.n_body_bytes,
             "nodes_answering": len(self._fleet.nodes(now)),
             "targets_ready": self._fleet.n_ready,
             "configuration": self._table.version if self._table else 0,
--- a/src/heatherspur/sidecar/entry.py
+++ b/src/heatherspur/sidecar/entry.py
@@ -11,6 +11,7 @@
 
 from heatherspur.core import now_s
 from heatherspur.dispatch import Customer, FleetSettings, Request, RoutingTable
+from heatherspur.dispatch.body_budget import BodyBudget, body_limit_bytes
 from heatherspur.dispatch.conf import OWNER_HANDOVER_S
 from heatherspur.dispatch.dispatcher import Dispatcher
 from heatherspur.dispatch.fleet import FleetView
@@ -36,6 +37,8 @@
 # before it reaches the target.
 MIN_DEADLINE_MS = 5
 DEFAULT_RETRY_AFTER_S = 0.5
+# A large body takes about this long to be passed on.
+BODY_RETRY_AFTER_S = 1.0
 STATUS_SUCCESS_END = 300
 # Interval at which the parts of rate limits follow lost and recovered nodes.
 REACHABILITY_CHECK_INTERVAL_S = 0.25
@@ -112,9 +115,15 @@
         self.grants_from_s = math.inf
         self._next_reachability_check_s = 0.0
         self._stop_admitting_at_s = float("inf")
+        self._body_budget = BodyBudget(body_limit_bytes(settings.memory_bytes))
         self._incoming_by_exchange: dict[int, _IncomingRequest] = {}
         self._pending_by_exchange: dict[int, Request] = {}
 
+    @property
+    def n_body_bytes(self) -> int:
+        """Size of the bodies that are held, in bytes."""
+        return self._body_budget.n_held
+
     @property
     def n_open(self) -> int:
         """Number of whole requests without a final answer."""
@@ -166,9 +175,14 @@
         incoming.n_bytes += len(data)
         table = self._table
         limit = min(table.max_body_bytes if table else MAX_BODY_BYTES, MAX_BODY_BYTES)
+        refusal = None
         if incoming.n_bytes > limit:
+            refusal = Refusal(413, "body-too-long")
+        elif not self._body_budget.hold(exchange, len(data)):
+            refusal = Refusal(503, "no-memory", BODY_RETRY_AFTER_S)
+        if refusal is not None:
             del self._incoming_by_exchange[exchange]
-            self._refuse(exchange, incoming, Refusal(413, "body-too-long"))
+            self._refuse(exchange, incoming, refusal)
 
     @handler("caller_end")
     def _on_caller_end(self, exchange):
@@ -303,6 +317,7 @@
         self._answer(FinalAnswer(over.exchange, 429, (), body, retry_after_s, True))
 
     def _answer(self, finished: FinalAnswer) -> None:
+        self._body_budget.release(finished.exchange)
         is_success = finished.status < STATUS_SUCCESS_END
         self._nested_calls.finish(finished.exchange, is_success, now_s())
         fields = finished.fields
@@ -356,6 +371,7 @@
 
     @handler("caller_gone")
     def _on_caller_gone(self, exchange):
+        self._body_budget.release(exchange)
         self._incoming_by_exchange.pop(exchange, None)
         self._pending_by_exchange.pop(exchange, None)
         self._nested_calls.cancel(exchange)
