sidecar: move the records of members and incoming requests to modules of their own

Moved without a change of behaviour: the events and their order are the same, and the record of a departure is now deleted on stop_node instead of just before it.

--- a/src/heatherspur/sidecar/app.py
+++ b/src/heatherspur/sidecar/app.py
@@ -4,7 +4,6 @@
 import os
 import secrets
 import signal as signals
-from collections.abc import Iterator, Mapping
 from pathlib import Path
 
 from circuits import handler
@@ -12,17 +11,16 @@
 from circuits.core.pollers import EPoll
 
 from heatherspur.core import Address, now_s
-from heatherspur.dispatch import FleetSettings, RoutingTable, TargetReport
-from heatherspur.dispatch.departures import Departure
-from heatherspur.dispatch.fleet import FleetView, Member
+from heatherspur.dispatch import FleetSettings, RoutingTable
+from heatherspur.dispatch.fleet import FleetView
 from heatherspur.dispatch.nested_calls import NestedCalls
 from heatherspur.http import HttpSettings
 from heatherspur.link import LinkSettings
-from heatherspur.net import Ticker, is_refused
+from heatherspur.net import Ticker
 from heatherspur.node import events as node_events
 from heatherspur.node.callers import CallerServer
 from heatherspur.ops import NodeLoop, count_dropped_lines
-from heatherspur.platform import KeyedHub, KeyedRecord, put_records
+from heatherspur.platform import KeyedHub
 from heatherspur.platform.wire import (
     CONFIG_KEY,
     CONFIG_TOPIC,
@@ -37,26 +35,16 @@
 from heatherspur.sidecar.control import ControlServer
 from heatherspur.sidecar.entry import SidecarEntry
 from heatherspur.sidecar.events import (
-    departure_recorded,
     end_requests,
-    fleet_changed,
-    members_read,
     settings_changed,
     table_changed,
 )
 from heatherspur.sidecar.exit import SidecarExit
 from heatherspur.sidecar.feed import SidecarFeed
 from heatherspur.sidecar.links import SidecarLinkHub, SidecarLinks
+from heatherspur.sidecar.members import SidecarMembers
 from heatherspur.sidecar.metrics import SidecarMetrics
-from heatherspur.sidecar.records import (
-    MEMBERS_TOPIC,
-    decode_departure,
-    decode_member,
-    departure_key,
-    encode_departure,
-    encode_member,
-    is_departure_key,
-)
+from heatherspur.sidecar.records import MEMBERS_TOPIC
 
 __all__ = ["SidecarApp"]
 
@@ -70,8 +58,6 @@
 # few hundredths of a second.
 MAX_LISTEN_DELAY_S = 1.0
 METRICS_PORT = 9464
-# The target is on the same host, which accepts or refuses connections at once.
-TARGET_CHECK_TIMEOUT_S = 0.05
 # The other settings are addresses and the identity of the node, which change only with
 # a restart.
 RELOADABLE_SETTINGS = ("grace_s", "retry_ratio", "retry_window_s", "retry_slack")
@@ -100,10 +86,6 @@
         self._is_listening = False
         self._listen_by_s = now_s() + MAX_LISTEN_DELAY_S
         self._table: RoutingTable | None = None
-        self._has_members = False
-        self._target_report: TargetReport | None = None
-        self._departure: Departure | None = None
-        self._departure_key = departure_key(settings.node)
         poller = EPoll().register(self)
         Ticker(TICK_S).register(self)
         self._metrics = SidecarMetrics()
@@ -111,6 +93,7 @@
         self._fleet = FleetView(me, settings.zone)
         identity = (me, secrets.token_hex(4), settings.zone)
         link_settings = LinkSettings("", LINK_CONNECT_TIMEOUT_S)
+        self._members = SidecarMembers(settings, self._fleet).register(self)
         self._hub = SidecarLinkHub(link_settings, lambda: identity).register(self)
         self._links = SidecarLinks(self._hub, self._fleet).register(self)
         self._caller_server = CallerServer(
@@ -184,12 +167,9 @@
 
     @handler("keys_changed", channel="*")
     def _on_keys_changed(self, topic, values_by_key):
-        if topic == CONFIG_TOPIC:
-            value = values_by_key.get(CONFIG_KEY)
-            if value:
-                self._apply_table(value)
-        elif topic == MEMBERS_TOPIC:
-            self._apply_members(values_by_key)
+        value = values_by_key.get(CONFIG_KEY) if topic == CONFIG_TOPIC else None
+        if value:
+            self._apply_table(value)
 
     def _apply_table(self, value: bytes) -> None:
         """Apply a configuration, unless it is invalid or not newer than the current."""
@@ -214,105 +194,6 @@
         )
         self.fire(table_changed(table), "*")
 
-    def _apply_members(self, values_by_host: dict[str, bytes]) -> None:
-        for host, value in values_by_host.items():
-            if is_departure_key(host):
-                continue
-            member = decode_member(host, value)
-            if member is None:
-                self._fleet.remove(host)
-            else:
-                self._fleet.put(host, member)
-        if not self._has_members:
-            known = self._fleet.members_by_host.get(self._settings.node)
-            is_same = known is not None and known.node == self._fleet.node_id
-            self._fleet.was_member = is_same
-        self._has_members = True
-        self._restore_departure(values_by_host)
-        self.fire(fleet_changed(), "*")
-        self._publish_target()
-
-    @handler("records_read", channel="*")
-    def _on_records_read(self, topic, records, next_offset, is_whole):
-        """Restore a departure from the store before any report takes effect."""
-        if topic != MEMBERS_TOPIC or not is_whole:
-            return
-        self._restore_departure({record.key: record.value for record in records})
-        self.fire(members_read(), "control")
-
-    def _restore_departure(self, values_by_key: Mapping[str, bytes]) -> None:
-        """Take over a departure that a former process of this node recorded.
-
-        It is obsolete if another start of the target has registered since.
-        """
-        key, host = self._departure_key, self._settings.node
-        departure = decode_departure(key, values_by_key.get(key, b""))
-        own = self._departure
-        if departure is None or (own is not None and own.covers(departure)):
-            return
-        self._departure = departure
-        member = decode_member(host, values_by_key.get(host, b""))
-        member = member or self._fleet.members_by_host.get(host)
-        if member is not None and member.started_at_ms > departure.started_at_ms:
-            return
-        extra = {"target": departure.target, "gone": departure.gone}
-        logger.info("node: departure of the target restored", extra=extra)
-        self.fire(departure_recorded(departure), "control")
-
-    @handler("records_written", channel="*")
-    def _on_records_written(self, topic, records):
-        for record in records:
-            if record.key == self._departure_key and record.value:
-                departure = decode_departure(record.key, record.value)
-                self.fire(departure_recorded(departure), "control")
-
-    @handler("target_heard", channel="*")
-    def _on_target_heard(self, report, departure):
-        self._target_report = report
-        self._publish_target(departure)
-
-    def _publish_target(self, departure: Departure | None = None) -> None:
-        """Write the records of this node's target that changed, in one call.
-
-        :param departure: Departure to record, if there is a new one.
-        """
-        records = list(self._changed_member())
-        if departure is not None and departure != self._departure:
-            self._departure = departure
-            value = encode_departure(departure)
-            records.append(KeyedRecord(self._departure_key, value))
-        if records:
-            self.fire(put_records(MEMBERS_TOPIC, tuple(records)), "store")
-
-    def _changed_member(self) -> Iterator[KeyedRecord]:
-        """Yield the record of the target as a member, if it differs from the known."""
-        report, settings = self._target_report, self._settings
-        if report is None or not self._has_members:
-            return
-        # A departure that was read from the store doesn't state the slots.
-        if not report.gone and not report.slots:
-            return
-        known = self._fleet.members_by_host.get(settings.node)
-        member = None
-        if not report.gone:
-            member = Member(
-                node=str(settings.links),
-                zone=settings.zone,
-                service=settings.service,
-                target=report.target,
-                started_at_ms=report.started_at_ms,
-                slots=report.slots,
-                ready=report.ready,
-            )
-        if member == known:
-            return
-        if member is None:
-            self._fleet.remove(settings.node)
-            yield KeyedRecord(settings.node, b"")
-            return
-        self._fleet.put(settings.node, member)
-        yield KeyedRecord(settings.node, encode_member(member))
-
     @handler("signal", channel="*")
     def _on_signal(self, signo, _stack):
         if signo == signals.SIGHUP:
@@ -325,20 +206,8 @@
             return
         self._stopping_since_s = now_s()
         logger.info("node: stopping", extra={"work_in_hand": self._n_open_requests})
-        self._remove_departure()
         self.fire(node_events.stop_node(), "*")
 
-    def _remove_departure(self) -> None:
-        """Delete the record of a departure, unless the target still runs.
-
-        Until it has ended, this node may be started again and needs the record.
-        """
-        if self._departure is None:
-            return
-        if is_refused(self._settings.target, TARGET_CHECK_TIMEOUT_S):
-            record = KeyedRecord(self._departure_key, b"")
-            self.fire(put_records(MEMBERS_TOPIC, (record,)), "store")
-
     def _reload(self, cause: str) -> None:
         """Reload the settings file; one that is unreadable or invalid changes nothing.
 
@@ -388,7 +257,7 @@
 
     @handler("tick", channel="*")
     def _on_tick(self, now):
-        is_known = self._table is not None and self._has_members
+        is_known = self._table is not None and self._members.is_known
         if is_known or now >= self._listen_by_s:
             self._listen_for_callers()
         if now >= self._next_settings_check_s:
--- a/src/heatherspur/sidecar/entry.py
+++ b/src/heatherspur/sidecar/entry.py
@@ -21,11 +21,11 @@
 from heatherspur.dispatch.quota_owners import QuotaOwners
 from heatherspur.dispatch.split import WeightedSplit
 from heatherspur.exchange import ReplyBody, ReplyEnd, ReplyHead, SendTo
-from heatherspur.http import RequestHead
 from heatherspur.link import messages as m
 from heatherspur.node import events as node_events
 from heatherspur.platform.headers import parse_request_metadata, retry_after_field
 from heatherspur.sidecar.conf import STOP_ADMITTING_AFTER_S
+from heatherspur.sidecar.incoming import IncomingRequest, Refusal, request_id_of
 from heatherspur.sidecar.links import SidecarLinks
 from heatherspur.sidecar.metrics import SidecarMetrics
 
@@ -46,33 +46,6 @@
 logger = logging.getLogger("heatherspur.entry")
 
 
-class Refusal(NamedTuple):
-    """Rejection of a request by this node; the request has not run.
-
-    :param status: HTTP status code.
-    :param reason: Short name of the reason.
-    :param retry_after_s: Seconds until the caller should retry; 0 for no advice.
-    """
-
-    status: int
-    reason: str
-    retry_after_s: float = 0.0
-
-
-class _IncomingRequest:
-    """A request whose body is being received.
-
-    :param head: Head of the request.
-    :param now: Clock reading in seconds.
-    """
-
-    def __init__(self, head: RequestHead, now: float) -> None:
-        self.head = head
-        self.opened_at_s = now
-        self.chunks: list[bytes] = []
-        self.n_bytes = 0
-
-
 class SidecarEntry(BaseComponent):
     """Task that takes requests from the caller server to their final answers.
 
@@ -116,7 +89,7 @@
         self._next_reachability_check_s = 0.0
         self._stop_admitting_at_s = float("inf")
         self._body_budget = BodyBudget(body_limit_bytes(settings.memory_bytes))
-        self._incoming_by_exchange: dict[int, _IncomingRequest] = {}
+        self._incoming_by_exchange: dict[int, IncomingRequest] = {}
         self._pending_by_exchange: dict[int, Request] = {}
 
     @property
@@ -161,7 +134,7 @@
 
     @handler("caller_request")
     def _on_caller_request(self, exchange, head):
-        incoming = _IncomingRequest(head, now_s())
+        incoming = IncomingRequest(head, now_s())
         self._incoming_by_exchange[exchange] = incoming
         if not head.has_body:
             self._request_token(exchange)
@@ -203,7 +176,7 @@
         self._perform(self._quota_client.acquire(exchange, customer, now))
 
     def _check(
-        self, exchange: int, incoming: _IncomingRequest, now: float
+        self, exchange: int, incoming: IncomingRequest, now: float
     ) -> Result[tuple[Request, Customer | None], Refusal]:
         """Check a request against the configuration and its deadline.
 
@@ -255,12 +228,12 @@
         return Ok((request, customer))
 
     def _refuse(
-        self, exchange: int, incoming: _IncomingRequest, refusal: Refusal
+        self, exchange: int, incoming: IncomingRequest, refusal: Refusal
     ) -> None:
         head = incoming.head
         extra = {
             "exchange": exchange,
-            "request_id": _request_id(head),
+            "request_id": request_id_of(head),
             "method": head.method,
             "status": refusal.status,
             "reason": refusal.reason,
@@ -404,10 +377,3 @@
             self._reserve_unreachable_shares(now)
         self._perform(self._quota_client.tick(now))
         self._perform(self._dispatcher.tick(now))
-
-
-def _request_id(head: RequestHead) -> str:
-    parsed_head = parse_request_metadata(head.fields)
-    return (
-        parsed_head.ok_value.attempt_id.decode("latin-1") if parsed_head.is_ok() else ""
-    )
